Keep traces of running requests with another daemon, so that a crash that was never reported counts

Weighed: no trials at all for ten minutes after any loss of a daemon (bystanders of every crash would then fail); counting each death of a target that no report explains (a loss of power to a data centre would look the same); telling one other daemon where a request begins to run, before it is sent. The last one was taken: the next daemon in the order of names keeps the traces, and puts them into its confirmation of a crash report, without which no trial begins. A target named there that is heard again goes free as any exposed one does; one not heard for 30 s counts as dead. Price: a message a run and a joint one each 100 ms for ends. After: at most 2 at each kill from 0 to 59 ms. Not bounded still: identical copies sent at one moment through three daemons; a keeper lost as well.

--- a/siskinlead-core/src/main/java/org/siskinlead/core/node/Node.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/node/Node.java
@@ -278,6 +278,10 @@
             guard.onTrial(m);
         } else if (message instanceof PeerMessage.CrashSuspectStored m) {
             guard.onStored(m);
+        } else if (message instanceof PeerMessage.CrashTrace m) {
+            guard.onTrace(m);
+        } else if (message instanceof PeerMessage.CrashTracesEnded m) {
+            guard.onTracesEnded(m);
         }
     }
 
--- a/siskinlead-core/src/main/java/org/siskinlead/core/peer/PeerMessage.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/peer/PeerMessage.java
@@ -219,6 +219,24 @@
      * @param from identity of the sender
      * @param fingerprint fingerprint of the request
      * @param target identity of the dead target
+     * @param elsewhere identities of the targets on which other daemons run the request, or ran it when they were lost
      */
-    record CrashSuspectStored(String from, String fingerprint, String target) implements PeerMessage {}
+    record CrashSuspectStored(String from, String fingerprint, String target, List<String> elsewhere)
+            implements PeerMessage {}
+
+    /**
+     * Tells the keeper of a daemon's traces on which targets a request begins to run, before it is sent to them.
+     * @param from identity of the sender
+     * @param request identifier of the request
+     * @param fingerprint fingerprint of the request
+     * @param targets identities of the targets; they replace those told before
+     */
+    record CrashTrace(String from, String request, String fingerprint, List<String> targets) implements PeerMessage {}
+
+    /**
+     * Tells the keeper of a daemon's traces that requests have ended.
+     * @param from identity of the sender
+     * @param requests identifiers of the requests
+     */
+    record CrashTracesEnded(String from, List<String> requests) implements PeerMessage {}
 }
--- a/siskinlead-core/src/main/java/org/siskinlead/core/retry/CrashGuard.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/retry/CrashGuard.java
@@ -49,6 +49,7 @@
     private final Timeline timeline;
     private final Map<String, Suspicion> suspicions = new LinkedHashMap<>();
     private final Exposures exposures;
+    private final Traces traces;
     private final Map<String, OtherTrial> otherTrials = new HashMap<>();
     private final Map<String, String> exclusive = new HashMap<>();
     private final Map<String, String> trials = new HashMap<>();
@@ -82,6 +83,7 @@
         this.timers = timers;
         this.timeline = timeline;
         this.exposures = new Exposures(timers);
+        this.traces = Traces.of(membership, peers, timers);
     }
 
     /**
@@ -124,7 +126,7 @@
         if (dead == 0) {
             return Verdict.RUN;
         }
-        if (dead >= MAX_DEAD_TARGETS || !isTriedHere(fingerprint)) {
+        if (dead + lostExposures(fingerprint) >= MAX_DEAD_TARGETS || !isTriedHere(fingerprint)) {
             return Verdict.REFUSE;
         }
         return openExposures(fingerprint) == 0 ? Verdict.RUN : Verdict.WAIT;
@@ -150,7 +152,8 @@
      * @return milliseconds
      */
     public long comeBackMillis(String fingerprint) {
-        if (deadTargets(fingerprint) >= MAX_DEAD_TARGETS) {
+        int dead = deadTargets(fingerprint);
+        if (dead > 0 && dead + lostExposures(fingerprint) >= MAX_DEAD_TARGETS) {
             return SUSPICION_MS;
         }
         return openExposures(fingerprint) > 0 ? Exposures.LIFE_MS : TRIAL_COME_BACK_MS;
@@ -192,6 +195,16 @@
         return request.equals(trials.computeIfAbsent(fingerprint, f -> request));
     }
 
+    /**
+     * Notes with another daemon on which targets a request begins to run; called before it is sent to them.
+     * @param fingerprint fingerprint of the request
+     * @param request identifier of the request
+     * @param targets identities of the targets
+     */
+    public void begin(String fingerprint, String request, List<String> targets) {
+        traces.begin(request, fingerprint, targets);
+    }
+
     /**
      * Ends a request, and with it a trial that it may have been.
      * @param fingerprint fingerprint of the request
@@ -199,6 +212,17 @@
      * @param completed whether its whole answer was delivered, which clears it
      */
     public void end(String fingerprint, String request, boolean completed) {
+        traces.end(request);
+        endTrial(fingerprint, request, completed);
+    }
+
+    /**
+     * Ends the trial that a request may have been; the request itself may go on.
+     * @param fingerprint fingerprint of the request
+     * @param request identifier of the request
+     * @param completed whether it did no harm, which clears it
+     */
+    public void endTrial(String fingerprint, String request, boolean completed) {
         if (!trials.remove(fingerprint, request) || !completed) {
             return;
         }
@@ -267,6 +291,7 @@
         PeerMessage.CrashSuspect report =
                 new PeerMessage.CrashSuspect(membership.self().id(), fingerprint, target);
         note(report);
+        traces.forEachElsewhere(fingerprint, report.reporter(), this::expose);
         timeline.record(EventKind.CRASH_SUSPECT_REPORTED, "fingerprint", fingerprint, "target", target);
         Spread spread = new Spread(report, onDone);
         spreads.add(spread);
@@ -280,9 +305,13 @@
      */
     public void onSuspect(PeerMessage.CrashSuspect report) {
         note(report);
-        Member self = membership.self();
-        PeerMessage stored = new PeerMessage.CrashSuspectStored(self.id(), report.fingerprint(), report.target());
-        announce(stored);
+        List<String> elsewhere = new ArrayList<>();
+        traces.forEachElsewhere(report.fingerprint(), report.reporter(), (fingerprint, target) -> {
+            exposures.note(fingerprint, target);
+            elsewhere.add(target);
+        });
+        announce(new PeerMessage.CrashSuspectStored(
+                membership.self().id(), report.fingerprint(), report.target(), elsewhere));
     }
 
     /**
@@ -290,6 +319,7 @@
      * @param stored the confirmation
      */
     public void onStored(PeerMessage.CrashSuspectStored stored) {
+        stored.elsewhere().forEach(target -> exposures.note(stored.fingerprint(), target));
         Suspicion suspicion = suspicions.get(stored.fingerprint());
         if (suspicion != null) {
             suspicion.informed.add(stored.from() + " " + stored.target());
@@ -307,6 +337,22 @@
         exposures.note(message.fingerprint(), message.target());
     }
 
+    /**
+     * Keeps on which targets another daemon runs a request.
+     * @param trace the news
+     */
+    public void onTrace(PeerMessage.CrashTrace trace) {
+        traces.onTrace(trace);
+    }
+
+    /**
+     * Forgets requests of another daemon that have ended.
+     * @param message the news
+     */
+    public void onTracesEnded(PeerMessage.CrashTracesEnded message) {
+        traces.onEnded(message);
+    }
+
     /**
      * Takes the news that a suspect was tried and did no harm.
      * @param message the news
@@ -370,6 +416,11 @@
         return exposures.open(fingerprint, suspicion == null ? Set.of() : suspicion.deadTargets);
     }
 
+    private int lostExposures(String fingerprint) {
+        Suspicion suspicion = suspicions.get(fingerprint);
+        return exposures.lost(fingerprint, suspicion == null ? Set.of() : suspicion.deadTargets);
+    }
+
     private void note(PeerMessage.CrashSuspect report) {
         Suspicion suspicion = suspicions.computeIfAbsent(report.fingerprint(), f -> new Suspicion());
         suspicion.until = timers.nowMillis() + SUSPICION_MS;
--- a/siskinlead-core/src/main/java/org/siskinlead/core/retry/Exposures.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/retry/Exposures.java
@@ -8,7 +8,7 @@
 
 /** Targets that stopped answering while they ran a request, until they have gone on with their work. */
 final class Exposures {
-    /** How long an exposure counts when the target is never heard again. */
+    /** How long a target may still go on with its work; one that is not heard in that time is taken for lost. */
     static final long LIFE_MS = 30_000;
 
     /** Time between two reports of a target after which it has gone on with the work that it had. */
@@ -20,11 +20,11 @@
     private final Map<String, Map<String, Exposure>> byRequest = new LinkedHashMap<>();
 
     private static final class Exposure {
-        private final long until;
+        private final long since;
         private long firstReportAt = Long.MAX_VALUE;
 
-        Exposure(long until) {
-            this.until = until;
+        Exposure(long since) {
+            this.since = since;
         }
     }
 
@@ -34,16 +34,24 @@
 
     /** Counts the exposed targets of a request that are not among the dead. */
     int open(String fingerprint, Set<String> dead) {
+        return count(fingerprint, dead, 0, LIFE_MS);
+    }
+
+    /** Counts the exposed targets of a request that were not heard again, and are not among the dead. */
+    int lost(String fingerprint, Set<String> dead) {
+        return count(fingerprint, dead, LIFE_MS, CrashGuard.SUSPICION_MS);
+    }
+
+    private int count(String fingerprint, Set<String> dead, long fromAge, long toAge) {
         long now = timers.nowMillis();
         return (int) byRequest.getOrDefault(fingerprint, Map.of()).entrySet().stream()
-                .filter(e -> e.getValue().until > now && !dead.contains(e.getKey()))
+                .filter(e -> !dead.contains(e.getKey()))
+                .filter(e -> now - e.getValue().since >= fromAge && now - e.getValue().since < toAge)
                 .count();
     }
 
     void note(String fingerprint, String target) {
-        byRequest
-                .computeIfAbsent(fingerprint, f -> new HashMap<>())
-                .put(target, new Exposure(timers.nowMillis() + LIFE_MS));
+        byRequest.computeIfAbsent(fingerprint, f -> new HashMap<>()).put(target, new Exposure(timers.nowMillis()));
         if (byRequest.size() > MAX_REQUESTS) {
             byRequest.remove(byRequest.keySet().iterator().next());
         }
--- a/siskinlead-core/src/main/java/org/siskinlead/core/serving/Completion.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/serving/Completion.java
@@ -109,6 +109,11 @@
         attempt++;
         hop = 0;
         nextLayer = 0;
+        context.guard()
+                .begin(
+                        fingerprint,
+                        request.id(),
+                        assigned.targets().stream().map(Target::identity).toList());
         assigned.targets().forEach(t -> context.guard().enter(fingerprint, t.id()));
         context.timeline()
                 .record(
@@ -242,7 +247,7 @@
         if (tried != null) {
             tried.targets().forEach(t -> context.guard().leave(fingerprint, t.id()));
         }
-        context.guard().end(fingerprint, request.id(), true);
+        context.guard().endTrial(fingerprint, request.id(), true);
     }
 
     private void onTimedOut(Target target) {
--- a/siskinlead-core/src/test/java/org/siskinlead/core/retry/CrashGuardTest.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/retry/CrashGuardTest.java
@@ -1,6 +1,7 @@
 package org.siskinlead.core.retry;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -60,4 +61,24 @@
         assertThat(bed.targets.crashes.get(PROMPT)).isAtMost(2);
         assertThat(bed.judge.violations()).isEmpty();
     }
+
+    @Test
+    void countsATargetWhoseDeathWasNeverReportedSinceItsDaemonDiedToo() {
+        for (int killAt = 0; killAt < 60; killAt++) {
+            TestBed bed = TestBed.start(killAt, 4, 50, 1_000);
+            bed.judge.complete(bed.host(0), PROMPT, 5, 1_400);
+            bed.time.runUntil(bed.time.now() + killAt);
+            bed.host(0).kill();
+
+            for (int i = 0; i < 12; i++) {
+                bed.time.runUntil(bed.time.now() + 1_500 * (1 + i / 3));
+                bed.judge.complete(bed.host(1 + i % 3), PROMPT, 5, 1_400);
+            }
+            bed.time.runUntil(bed.time.now() + 3_000);
+
+            assertWithMessage("crashes, the daemon killed %s ms after the request", killAt)
+                    .that(bed.targets.crashes.getOrDefault(PROMPT, 0))
+                    .isAtMost(2);
+        }
+    }
 }
--- a/siskinlead-protocol/src/test/java/org/siskinlead/protocol/peer/PeerCodecTest.java
+++ b/siskinlead-protocol/src/test/java/org/siskinlead/protocol/peer/PeerCodecTest.java
@@ -95,7 +95,9 @@
                 new PeerMessage.ClaimResult("127.0.0.1:2", "t/k", record.ended(KeyRecord.State.DONE, 200, "ok")),
                 new PeerMessage.ClaimResultStored("t/k", "c"),
                 new PeerMessage.CrashSuspect("vm-1/7", "f", "engine/1"),
-                new PeerMessage.CrashSuspectStored("vm-1/7", "f", "engine/1"),
+                new PeerMessage.CrashSuspectStored("vm-1/7", "f", "engine/1", List.of("engine/2")),
+                new PeerMessage.CrashTrace("vm-1/7", "r", "f", List.of("engine/1", "engine/2")),
+                new PeerMessage.CrashTracesEnded("vm-1/7", List.of("r")),
                 new PeerMessage.CrashExposure("f", "engine/1"),
                 new PeerMessage.CrashTrial("f", "engine", 500),
                 new PeerMessage.CrashCleared("f"));
