--- a/siskinlead-core/src/main/java/org/siskinlead/core/serving/Refusal.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/serving/Refusal.java
@@ -30,6 +30,17 @@
         return new Refusal(code, RequestOutcome.FAILED, detail, retryAfterMillis);
     }
 
+    /**
+     * Makes this refusal speak for an idempotency key of which nothing was looked up. The call itself did not run, but one
+     * with its key may have run before, through another daemon.
+     * @param key idempotency key of the call, empty when it has none
+     * @return this refusal, with an unknown outcome where it said that nothing ran and there is a key
+     */
+    public Refusal speakingFor(String key) {
+        boolean mayHaveRunBefore = !key.isEmpty() && outcome == RequestOutcome.NOT_RUN;
+        return mayHaveRunBefore ? new Refusal(code, RequestOutcome.UNKNOWN, detail, retryAfterMillis) : this;
+    }
+
     /**
      * Creates a refusal of a request that may have run once and will not be sent again.
      * @param detail explanation
--- a/siskinlead-core/src/main/java/org/siskinlead/core/serving/RequestOutcome.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/serving/RequestOutcome.java
@@ -4,11 +4,11 @@
 public enum RequestOutcome {
     /** The whole answer was delivered. */
     COMPLETE("complete"),
-    /** It is certain that nothing ran. */
+    /** It is certain that nothing ran, under an idempotency key neither now nor before. */
     NOT_RUN("not-run"),
     /** Some work may have run; the request may be sent again. */
     FAILED("failed"),
-    /** Work that may not be repeated was sent and its answer was lost. */
+    /** Work that may not be repeated may have run, under this request or an earlier one with its key. */
     UNKNOWN("unknown");
 
     private final String text;
--- a/siskinlead-core/src/main/java/org/siskinlead/core/serving/ServiceCalls.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/serving/ServiceCalls.java
@@ -79,15 +79,19 @@
                 sink.onAnswer(record.status(), record.body(), true);
             }
             case IN_PROGRESS ->
-                sink.onRefused(Refusal.notRun(
-                        RefusalCode.KEY_IN_PROGRESS, "a call with this key is in progress", COME_BACK_MS));
+                sink.onRefused(
+                        Refusal.notRun(RefusalCode.KEY_IN_PROGRESS, "a call with this key is in progress", COME_BACK_MS)
+                                .speakingFor(call.key()));
             case MISMATCH ->
                 sink.onRefused(Refusal.notRun(RefusalCode.KEY_MISMATCH, "this key was used for another call", 0));
             case UNKNOWN ->
                 sink.onRefused(Refusal.unknown("a call with this key may have run; it will not be sent again"));
             case UNAVAILABLE ->
                 sink.onRefused(Refusal.notRun(
-                        RefusalCode.KEY_RECORD_UNAVAILABLE, "the key could not be recorded", COME_BACK_MS));
+                                RefusalCode.KEY_RECORD_UNAVAILABLE,
+                                "the key could be neither looked up nor recorded; this call was not sent",
+                                COME_BACK_MS)
+                        .speakingFor(call.key()));
         }
     }
 
--- a/siskinlead-core/src/main/java/org/siskinlead/core/serving/Serving.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/serving/Serving.java
@@ -165,17 +165,18 @@
      * @param sink receives the answer
      */
     public void call(ServiceCall call, ServiceSink sink) {
-        afterStanding(sink::onRefused, () -> {
+        Consumer<Refusal> onRefused = refusal -> sink.onRefused(refusal.speakingFor(call.key()));
+        afterStanding(onRefused, () -> {
             Optional<TeamDocument> team = allowed(call.team());
             if (team.isEmpty() || !team.get().template().services().contains(call.service())) {
-                sink.onRefused(notAllowed(call.team()));
+                onRefused.accept(notAllowed(call.team()));
                 return;
             }
             boolean repeatable = team.get().template().repeatable().contains(call.service() + "/" + call.operation());
             limits.acquire(call.team(), priority(team.get()), LimitHolder.MAX_WAIT_MS, admission -> {
                 if (admission != Admission.ADMITTED) {
                     context.counters().refused++;
-                    sink.onRefused(limitRefusal(call.team(), admission));
+                    onRefused.accept(limitRefusal(call.team(), admission));
                     return;
                 }
                 begin(call.request(), call.team());
--- /dev/null
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/node/FiledSchedulesTest.java
@@ -0,0 +1,24 @@
+package org.siskinlead.core.node;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.siskinlead.core.fakes.TestBed;
+
+/** Schedules that random runs found once, each with the fault that it showed. */
+class FiledSchedulesTest {
+    /** Five requests ran for a moment though the limit had been four for four seconds. */
+    @Test
+    void keepsToALoweredLimitWithCrossedAnswersAndACut() {
+        List<Disturbance> schedule = List.of(
+                new Disturbance(0, Disturbance.Kind.CROSSED_ANSWERS, 0, 100),
+                new Disturbance(6_701, Disturbance.Kind.CUT_ONE_WAY, 3, 208),
+                new Disturbance(4_573, Disturbance.Kind.LOWER_LIMIT, 1, 150),
+                new Disturbance(834, Disturbance.Kind.CRASHING_REQUEST, 4, 398));
+
+        TestBed bed = RandomScheduleTest.play(schedule, 704_915_955, 704_915_955 ^ 918_273_645);
+
+        assertThat(bed.judge.violations()).isEmpty();
+    }
+}
--- a/siskinlead-daemon/src/main/java/org/siskinlead/daemon/entry/EntryServer.java
+++ b/siskinlead-daemon/src/main/java/org/siskinlead/daemon/entry/EntryServer.java
@@ -32,6 +32,7 @@
     private static final long DEFAULT_DEADLINE_MS = 60_000;
     private static final long MAX_DEADLINE_MS = 300_000;
     private static final int MAX_KEY_CHARACTERS = 200;
+    private static final String KEY = "Idempotency-Key";
     private static final String SERVICES = "/v1/services/";
     private static final String OPERATOR = "/v1/operator/";
 
@@ -77,8 +78,7 @@
         String request = ids.get();
         boolean published = loop.tryPublish(() -> route(exchange, request));
         if (!published) {
-            Problems.respond(
-                    exchange, Refusal.notRun(RefusalCode.OVERLOADED, "this entry VM is overloaded", 1_000), request);
+            respond(exchange, Refusal.notRun(RefusalCode.OVERLOADED, "this entry VM is overloaded", 1_000), request);
         }
     }
 
@@ -160,7 +160,7 @@
             return;
         }
         String[] parts = resource.split("/", -1);
-        String key = exchange.header("Idempotency-Key");
+        String key = exchange.header(KEY);
         if (parts.length != 2 || !isName(parts[0]) || !isName(parts[1])) {
             refuse(exchange, RefusalCode.BAD_REQUEST, "expected /v1/services/{service}/{operation}", request);
             return;
@@ -201,7 +201,7 @@
         if (node.membership().inStanding()) {
             refuse(exchange, RefusalCode.NO_CREDENTIAL, "a team's bearer credential is needed", request);
         } else {
-            Problems.respond(
+            respond(
                     exchange,
                     Refusal.notRun(RefusalCode.NOT_IN_STANDING, "this entry VM does not know the templates", 1_000),
                     request);
@@ -214,7 +214,12 @@
     }
 
     private static void refuse(HttpExchange exchange, RefusalCode code, String detail, String request) {
-        Problems.respond(exchange, Refusal.notRun(code, detail, 0), request);
+        respond(exchange, Refusal.notRun(code, detail, 0), request);
+    }
+
+    /** Refuses before the call's key was looked up. */
+    private static void respond(HttpExchange exchange, Refusal refusal, String request) {
+        Problems.respond(exchange, refusal.speakingFor(exchange.header(KEY)), request);
     }
 
     private record Health(String status) {}
