--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/WaitingLine.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/WaitingLine.java
@@ -81,11 +81,14 @@
     }
 
     private void tick() {
-        serve();
-        expire();
-        ticking = !line.isEmpty();
-        if (ticking) {
-            timers.after(TICK_MS, this::tick);
+        try {
+            serve();
+            expire();
+        } finally {
+            ticking = !line.isEmpty();
+            if (ticking) {
+                timers.after(TICK_MS, this::tick);
+            }
         }
     }
 
@@ -98,7 +101,7 @@
             if (!line.contains(entry)) {
                 continue;
             }
-            if (entry.waiter().trySend()) {
+            if (trySend(entry)) {
                 line.remove(entry);
             } else {
                 failed++;
@@ -106,6 +109,16 @@
         }
     }
 
+    /** Tries to send a request; one that fails with a fault leaves the line, so that it does not hold up the others. */
+    private boolean trySend(Entry entry) {
+        try {
+            return entry.waiter().trySend();
+        } catch (RuntimeException e) {
+            line.remove(entry);
+            throw e;
+        }
+    }
+
     private void expire() {
         long now = timers.nowMillis();
         for (Entry entry : List.copyOf(line)) {
--- a/siskinlead-core/src/main/java/org/siskinlead/core/gateway/Gateway.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/gateway/Gateway.java
@@ -1,7 +1,9 @@
 package org.siskinlead.core.gateway;
 
 import java.util.List;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
+import java.util.stream.IntStream;
 import org.siskinlead.core.catalog.Catalog;
 import org.siskinlead.core.forwarding.Forwarder;
 import org.siskinlead.core.forwarding.RetryShare;
@@ -25,6 +27,8 @@
     private static final long LEAST_DRAIN_MS = 3_000;
 
     private static final long DRAIN_POLL_MS = 50;
+    /** Multiplier that spreads similar texts over all integers; 2^32 over the golden ratio. */
+    private static final int SPREAD = 0x9E37_79B9;
 
     private final RosterEntry self;
     private final Timers timers;
@@ -33,6 +37,7 @@
     private final TargetRegistry registry;
     private final Roster roster;
     private final Forwarder forwarder;
+    private Consumer<Catalog> catalogListener = catalog -> {};
     private boolean listening;
     private boolean draining;
     private boolean storeLost = true;
@@ -152,7 +157,25 @@
 
     /**
      * Lists where callers should connect. While no daemon takes requests, a stopping one names itself: it still takes
-     * what it can finish.
+     * what it can finish. Where not all can be listed, each caller gets its own part, the same at every daemon and for
+     * as long as the roster stays, so that all daemons share the load and callers keep their connections.
+     * @param caller what the caller calls us, and where it is
+     * @param most addresses that may be listed, 1 or more
+     * @return addresses of daemons that take requests; empty when this daemon cannot know
+     */
+    public List<String> entryAddresses(String caller, int most) {
+        List<String> all = entryAddresses();
+        if (all.size() <= most) {
+            return all;
+        }
+        int first = ((caller.hashCode() * SPREAD) >>> Short.SIZE) % all.size();
+        return IntStream.range(first, first + most)
+                .mapToObj(i -> all.get(i % all.size()))
+                .toList();
+    }
+
+    /**
+     * Lists where callers should connect, without a bound.
      * @return addresses of daemons that take requests; empty when this daemon cannot know
      */
     public List<String> entryAddresses() {
@@ -172,9 +195,18 @@
      */
     public void onCatalog(Catalog catalog) {
         forwarder.onCatalog(catalog);
+        forwarder.catalog().ifPresent(catalogListener);
         announceIfServing();
     }
 
+    /**
+     * Registers what follows the catalog in force.
+     * @param listener receives the catalog after each change
+     */
+    public void followCatalog(Consumer<Catalog> listener) {
+        catalogListener = listener;
+    }
+
     /** Takes note that callers can connect. */
     public void onListening() {
         listening = true;
--- a/siskinlead-core/src/main/java/org/siskinlead/core/roster/Roster.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/roster/Roster.java
@@ -156,15 +156,32 @@
     public void leave() {
         leaving = true;
         entries.remove(self.vm());
-        if (lease != 0) {
-            long ended = lease;
-            lease = 0;
-            store.endLease(ended, outcome -> {
-                if (outcome == Outcome.UNKNOWN || outcome == Outcome.REJECTED) {
-                    store.endLease(ended, again -> {});
-                }
-            });
+        if (lease == 0) {
+            return;
         }
+        long ended = lease;
+        lease = 0;
+        if (isLapseLikely()) {
+            store.commit(
+                    List.of(),
+                    List.of(new Change(VMS + self.vm(), RosterEntry.LEAVING, ended)),
+                    outcome -> endLease(ended));
+        } else {
+            endLease(ended);
+        }
+    }
+
+    private void endLease(long ended) {
+        store.endLease(ended, outcome -> {
+            if (outcome == Outcome.UNKNOWN || outcome == Outcome.REJECTED) {
+                store.endLease(ended, again -> {});
+            }
+        });
+    }
+
+    /** Tells whether others may take the end of this daemon's entry for a lapse, and go on listing it. */
+    private boolean isLapseLikely() {
+        return storeAway || timers.nowMillis() - storeSteadyAt < 2 * LAPSE_GRACE_MS;
     }
 
     /**
@@ -193,11 +210,8 @@
         lapsedUntil.remove(key);
         if (key.startsWith(VMS)) {
             String vm = key.substring(VMS.length());
-            RosterEntry.decode(vm, value).ifPresent(entry -> {
-                if (entries.put(vm, entry) == null) {
-                    timeline.record(EventKind.MEMBER_JOINED, "vm", vm, "address", entry.address());
-                }
-            });
+            RosterEntry.decode(vm, value)
+                    .ifPresentOrElse(entry -> list(vm, entry), () -> drop(key, "the daemon is leaving"));
         } else if (key.startsWith(DOWN) && !key.endsWith("/" + self.vm())) {
             String rest = key.substring(DOWN.length());
             String text = new String(value, StandardCharsets.UTF_8);
@@ -223,7 +237,7 @@
         if (storeAway || timers.nowMillis() - storeSteadyAt < LAPSE_GRACE_MS) {
             lapsedUntil.put(key, timers.nowMillis() + LAPSE_GRACE_MS);
         } else {
-            drop(key);
+            drop(key, "entry removed");
         }
     }
 
@@ -355,15 +369,21 @@
         for (Map.Entry<String, Long> lapsed : List.copyOf(lapsedUntil.entrySet())) {
             if (now >= lapsed.getValue()) {
                 lapsedUntil.remove(lapsed.getKey());
-                drop(lapsed.getKey());
+                drop(lapsed.getKey(), "entry lapsed");
             }
         }
     }
 
-    private void drop(String key) {
+    private void list(String vm, RosterEntry entry) {
+        if (entries.put(vm, entry) == null) {
+            timeline.record(EventKind.MEMBER_JOINED, "vm", vm, "address", entry.address());
+        }
+    }
+
+    private void drop(String key, String reason) {
         String vm = key.substring(VMS.length());
         if (entries.remove(vm) != null) {
-            timeline.record(EventKind.MEMBER_REMOVED, "vm", vm, "reason", "entry removed");
+            timeline.record(EventKind.MEMBER_REMOVED, "vm", vm, "reason", reason);
         }
     }
 }
--- a/siskinlead-core/src/main/java/org/siskinlead/core/roster/RosterEntry.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/roster/RosterEntry.java
@@ -12,6 +12,9 @@
 public record RosterEntry(String vm, String address, String dataCentre) {
     private static final String SEPARATOR = "\n";
 
+    /** Value that a daemon puts in place of its entry when it leaves; no entry reads so. */
+    static final byte[] LEAVING = "leaving".getBytes(StandardCharsets.UTF_8);
+
     byte[] encode() {
         return String.join(SEPARATOR, address, dataCentre).getBytes(StandardCharsets.UTF_8);
     }
--- a/siskinlead-core/src/test/java/org/siskinlead/core/gateway/GatewayTest.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/gateway/GatewayTest.java
@@ -3,7 +3,10 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
@@ -32,7 +35,7 @@
         for (int i = 0; i < 2; i++) {
             gateways.add(start("vm" + i));
         }
-        timers.advance(6_000);
+        timers.advance(1_000);
         gateways.forEach(g -> g.onProof(Freshness.Moment.now(timers)));
     }
 
@@ -71,6 +74,26 @@
         assertThat(gateways.get(1).entryAddresses()).containsExactly("vm1:1");
     }
 
+    @Test
+    void sharesCallersOutWhereNotAllDaemonsCanBeListed() {
+        for (int i = 2; i < 20; i++) {
+            gateways.add(start("vm" + i));
+        }
+        timers.advance(2_000);
+        gateways.get(0).onProof(Freshness.Moment.now(timers));
+        Map<String, Integer> listed = new HashMap<>();
+        for (int caller = 0; caller < 60; caller++) {
+            String query = "name=team" + caller + ".example&zone=east";
+            List<String> addresses = gateways.get(0).entryAddresses(query, 5);
+            assertThat(addresses).hasSize(5);
+            assertThat(gateways.get(0).entryAddresses(query, 5)).isEqualTo(addresses);
+            addresses.forEach(address -> listed.merge(address, 1, Integer::sum));
+        }
+
+        assertThat(listed).hasSize(20);
+        assertThat(Collections.max(listed.values())).isAtMost(3 * 60 * 5 / 20);
+    }
+
     @Test
     void namesItselfWhileEveryDaemonStops() {
         gateways.forEach(g -> g.drain(GRACE_MS, () -> {}));
--- a/siskinlead-core/src/test/java/org/siskinlead/core/roster/RosterTest.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/roster/RosterTest.java
@@ -101,6 +101,18 @@
         }
     }
 
+    @Test
+    void doesNotTakeALeaveSoonAfterTheStoreCameBackForALapse() {
+        rosters.forEach(Roster::onStoreLost);
+        rosters.forEach(Roster::onStoreRegained);
+
+        rosters.get(0).leave();
+        timers.advance(200);
+
+        assertThat(rosters.get(1).entries()).hasSize(2);
+        assertThat(rosters.get(2).entries()).hasSize(2);
+    }
+
     @Test
     void registersThoughAnswersAreLost() {
         store.mode = FakeLeaseStore.Mode.ANSWERS_LOST;
