Join anew when the removal came while the join's own write had no answer

Cause, from the heads of all daemons each second: its join was stored in version 17 and the answer lost; version 18 removed it before the write was read back. A removal is acted on unless a join is under way, and a join that is found stored ended without a look at whether it still holds. Now it looks. Ruled out: the witnesses (all vouched for each other at version 20 on), the cut (healed at 25 s, the daemon was out until 60 s). Before: FiledSchedulesTest failed, "vm-0 did not recover its standing". After: passes.

--- a/siskinlead-core/src/main/java/org/siskinlead/core/membership/Membership.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/membership/Membership.java
@@ -297,9 +297,7 @@
             detector.watch(head.members());
         }
         refreshStanding();
-        if (!isMember() && !joining && !leaving) {
-            rejoin();
-        }
+        rejoinIfRemoved();
         listeners.forEach(l -> l.accept(head));
         beat();
     }
@@ -348,12 +346,20 @@
             if (outcome == ChangeOutcome.STORED) {
                 joining = false;
                 timeline.record(EventKind.MEMBER_JOINED, "member", self.id());
+                rejoinIfRemoved();
             } else {
                 timers.after(JOIN_RETRY_MS, this::join);
             }
         });
     }
 
+    /** Joins anew after a removal; one that came while the write of the join had no answer is found when it ends. */
+    private void rejoinIfRemoved() {
+        if (!isMember() && !joining && !leaving) {
+            rejoin();
+        }
+    }
+
     private void rejoin() {
         self = self.rejoining();
         standing = new Standing(self.id());
--- a/siskinlead-core/src/test/java/org/siskinlead/core/node/FiledSchedulesTest.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/node/FiledSchedulesTest.java
@@ -21,4 +21,17 @@
 
         assertThat(bed.judge.violations()).isEmpty();
     }
+
+    /** A daemon that was started anew while the store lost answers never came back into standing. */
+    @Test
+    void recoversTheStandingOfADaemonThatRestartsWhileTheStoreLosesAnswers() {
+        List<Disturbance> schedule = List.of(
+                new Disturbance(0, Disturbance.Kind.STORE_LOSES_ANSWERS, 0, 7_991),
+                new Disturbance(0, Disturbance.Kind.CUT_ONE_WAY, 0, 1_168),
+                new Disturbance(6_536, Disturbance.Kind.KILL_DAEMON, 4, 597));
+
+        TestBed bed = RandomScheduleTest.play(schedule, 209_663, 209_663 ^ 918_273_645);
+
+        assertThat(bed.judge.violations()).isEmpty();
+    }
 }
