--- a/siskinlead-core/src/main/java/org/siskinlead/core/roster/Roster.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/roster/Roster.java
@@ -35,7 +35,18 @@
     /** Part of the lease's life that is left unused, for the delay of a renewal and the drift of clocks. */
     static final long LEASE_MARGIN_MS = 500;
 
+    /** Time between renewals while few daemons serve: a quarter of the lease's life, so that three may be lost. */
     private static final long RENEW_MS = 500;
+    /**
+     * Time between renewals while many serve: half of the lease's life. The calls of all daemons add up, and one daemon of
+     * many that is not listed for a moment is missed less; a renewal without an answer is sent again soon.
+     */
+    private static final long RENEW_OF_MANY_MS = 1_000;
+    /** Wait for the answer to a renewal before another is sent: leaves time for one more within the lease's life. */
+    private static final long RENEW_AGAIN_MS = 400;
+    /** Most daemons that count as few: with one lost, more than an eighth of the callers would be concerned. */
+    private static final int FEW = 8;
+
     private static final long TICK_MS = 200;
     /** Wait for an answer, or for the mirror to show a write, before it is sent again. */
     private static final long RESEND_MS = 600;
@@ -276,7 +287,7 @@
         long now = timers.nowMillis();
         if (lease == 0) {
             open(now);
-        } else if (now - renewedAt >= RENEW_MS && !renewing) {
+        } else if (now - renewedAt >= renewInterval()) {
             renew(now);
         }
         if (lease != 0 && announced) {
@@ -309,16 +320,23 @@
         });
     }
 
+    private long renewInterval() {
+        if (renewing) {
+            return RENEW_AGAIN_MS;
+        }
+        return entries.size() > FEW ? RENEW_OF_MANY_MS : RENEW_MS;
+    }
+
     private void renew(long now) {
         renewing = true;
         renewedAt = now;
         long renewed = lease;
         Freshness.Moment sent = Freshness.Moment.now(timers);
         store.renewLease(renewed, outcome -> {
-            renewing = false;
             if (lease != renewed) {
                 return;
             }
+            renewing &= outcome == Outcome.UNKNOWN;
             if (outcome == Outcome.DONE) {
                 leaseProof.onProof(sent);
             } else if (outcome == Outcome.LEASE_ENDED) {
--- a/siskinlead-core/src/test/java/org/siskinlead/core/fakes/FakeLeaseStore.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/fakes/FakeLeaseStore.java
@@ -58,6 +58,10 @@
     /** One daemon's way to the store. */
     public final class Client implements LeaseStore {
         public boolean cut;
+        /** Whether every other renewal is lost on its way. */
+        public boolean losesRenewals;
+
+        public int renewals;
 
         private boolean arrives() {
             return !cut && mode != Mode.AWAY;
@@ -82,6 +86,11 @@
         @Override
         public void renewLease(long lease, Consumer<Outcome> onResult) {
             Outcome outcome = Outcome.LEASE_ENDED;
+            renewals++;
+            if (losesRenewals && renewals % 2 == 0) {
+                timers.after(TIMEOUT_MS, () -> onResult.accept(Outcome.UNKNOWN));
+                return;
+            }
             if (arrives() && endsAt.containsKey(lease)) {
                 endsAt.put(lease, timers.nowMillis() + ttl.get(lease));
                 outcome = Outcome.DONE;
--- a/siskinlead-core/src/test/java/org/siskinlead/core/placement/LayerPlannerTest.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/placement/LayerPlannerTest.java
@@ -182,7 +182,7 @@
         assertThat(lost.id()).isNotEmpty();
     }
 
-    private static List<EngineSlot> empty(Map<String, List<String>> fleet) {
+    static List<EngineSlot> empty(Map<String, List<String>> fleet) {
         List<EngineSlot> engines = new ArrayList<>();
         fleet.forEach((dataCentre, kinds) -> {
             for (String kind : kinds) {
@@ -194,7 +194,7 @@
     }
 
     /** Carries out plans until nothing changes any more. */
-    private static List<EngineSlot> settled(List<EngineSlot> before) {
+    static List<EngineSlot> settled(List<EngineSlot> before) {
         List<EngineSlot> engines = new ArrayList<>(before);
         for (int round = 0; round < 60; round++) {
             Map<String, LayerRange> moves = new HashMap<>(LayerPlanner.of(SPEC).plan(engines));
@@ -221,7 +221,7 @@
         return uncovered;
     }
 
-    private static double leastRoom(List<EngineSlot> engines, String dataCentre) {
+    static double leastRoom(List<EngineSlot> engines, String dataCentre) {
         double least = Double.MAX_VALUE;
         for (double room : rooms(
                 engines.stream().filter(e -> e.dataCentre().equals(dataCentre)).toList())) {
--- a/siskinlead-core/src/test/java/org/siskinlead/core/roster/RosterTest.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/roster/RosterTest.java
@@ -132,6 +132,37 @@
         assertThat(store.writes - before).isEqualTo(0);
     }
 
+    @Test
+    void renewsLessOftenWhereManyDaemonsServe() {
+        for (int i = 3; i < 33; i++) {
+            start("vm" + i);
+        }
+        timers.advance(3_000);
+        int before = renewals();
+        timers.advance(30_000);
+
+        assertThat(renewals() - before).isAtMost(33 * 30);
+        assertThat(rosters.get(0).entries()).hasSize(33);
+    }
+
+    @Test
+    void keepsManyDaemonsListedThoughEveryOtherRenewalIsLost() {
+        for (int i = 3; i < 33; i++) {
+            start("vm" + i);
+        }
+        timers.advance(3_000);
+        clients.forEach(client -> client.losesRenewals = true);
+        for (int step = 0; step < 300; step++) {
+            timers.advance(100);
+            assertThat(rosters.get(0).entries()).hasSize(33);
+        }
+        assertThat(holders()).hasSize(1);
+    }
+
+    private int renewals() {
+        return clients.stream().mapToInt(client -> client.renewals).sum();
+    }
+
     @Test
     void tellsOthersOfTargetsFoundDown() {
         List<String> seen = new ArrayList<>();
--- a/siskinlead-daemon/src/main/java/org/siskinlead/daemon/MetricsText.java
+++ b/siskinlead-daemon/src/main/java/org/siskinlead/daemon/MetricsText.java
@@ -5,6 +5,8 @@
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Snapshot;
 import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
 
 /** Renders metrics as text: a name and a value on each line. */
 public final class MetricsText {
@@ -16,9 +18,20 @@
      * @return the lines, in the order of their names
      */
     public static String of(MetricRegistry metrics) {
+        return of(metrics, Map.of());
+    }
+
+    /**
+     * Renders every gauge and histogram, and counts that are kept elsewhere.
+     * @param metrics the metrics
+     * @param counts the counts by name
+     * @return the lines, in the order of the names within each sort
+     */
+    public static String of(MetricRegistry metrics, Map<String, Long> counts) {
         StringBuilder text = new StringBuilder();
         metrics.getGauges().forEach((name, gauge) -> line(text, name, value(gauge)));
         metrics.getHistograms().forEach((name, histogram) -> lines(text, name, histogram));
+        new TreeMap<>(counts).forEach((name, count) -> line(text, name, Long.toString(count)));
         return text.toString();
     }
 
