Keep a daemon going whose standard output nobody reads, and count what is dropped there

Before: after about 11 s a caller got no answer for 15 s (read timed out). Cause: the buffer before standard output does not block when it is full, but it reports each line that it cannot take on standard error, and that write waits, on the decision thread, as soon as nobody reads there either. What it dropped was not counted. Ruled out: the bound on the rate (its lines are counted and never reach the buffer).

--- a/siskinlead-daemon/src/main/java/org/siskinlead/daemon/LogSetup.java
+++ b/siskinlead-daemon/src/main/java/org/siskinlead/daemon/LogSetup.java
@@ -1,24 +1,32 @@
 package org.siskinlead.daemon;
 
+import java.util.concurrent.atomic.LongAdder;
 import org.apache.logging.log4j.Level;
 import org.apache.logging.log4j.core.Appender;
+import org.apache.logging.log4j.core.LogEvent;
 import org.apache.logging.log4j.core.appender.AsyncAppender;
 import org.apache.logging.log4j.core.appender.ConsoleAppender;
 import org.apache.logging.log4j.core.config.AbstractConfiguration;
 import org.apache.logging.log4j.core.config.AppenderRef;
 import org.apache.logging.log4j.core.config.ConfigurationSource;
 import org.apache.logging.log4j.core.config.Configurator;
+import org.apache.logging.log4j.core.filter.AbstractFilter;
 import org.apache.logging.log4j.layout.template.json.JsonTemplateLayout;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Sets up the logs: JSON lines on standard output, written by a thread of their own. When standard output is slow and
- * the buffer is full, lines are dropped. Set up in code, because reading it from XML took half of a daemon's start.
+ * the buffer is full, lines are dropped and counted. Set up in code, because reading it from XML took half of a daemon's start.
  */
 public final class LogSetup {
     /** Lines that wait for standard output before further ones are dropped: five seconds at the bound on the rate. */
     private static final int BUFFERED_LINES = 2_048;
 
+    /** Room kept free in the buffer, so that threads that log at one moment never find it full, which would block them. */
+    private static final int SPARE_LINES = 64;
+
     private static final String OUTPUT = "stdout";
+    private static final LongAdder DROPPED = new LongAdder();
 
     private LogSetup() {}
 
@@ -30,6 +38,32 @@
         Configurator.initialize(new JsonLines(level));
     }
 
+    /**
+     * Counts the lines that were dropped because standard output did not take them.
+     * @return lines since the start
+     */
+    public static long dropped() {
+        return DROPPED.sum();
+    }
+
+    /**
+     * Keeps lines from a full buffer. The buffer itself would report each of them on standard error, and wait there when
+     * nobody reads that either.
+     */
+    private static final class RoomFilter extends AbstractFilter {
+        private @Nullable AsyncAppender buffer;
+
+        @Override
+        public Result filter(LogEvent event) {
+            AsyncAppender filled = buffer;
+            if (filled == null || filled.getQueueRemainingCapacity() > SPARE_LINES) {
+                return Result.NEUTRAL;
+            }
+            DROPPED.increment();
+            return Result.DENY;
+        }
+    }
+
     private static final class JsonLines extends AbstractConfiguration {
         private final Level level;
 
@@ -52,13 +86,16 @@
                     .build();
             output.start();
             addAppender(output);
-            Appender buffer = AsyncAppender.newBuilder()
+            RoomFilter room = new RoomFilter();
+            AsyncAppender buffer = AsyncAppender.newBuilder()
                     .setName("buffer")
                     .setBlocking(false)
                     .setBufferSize(BUFFERED_LINES)
                     .setAppenderRefs(new AppenderRef[] {AppenderRef.createAppenderRef(OUTPUT, null, null)})
                     .setConfiguration(this)
                     .build();
+            room.buffer = buffer;
+            buffer.addFilter(room);
             buffer.start();
             addAppender(buffer);
             getRootLogger().addAppender(buffer, null, null);
