Say "not run" of a stream only if nothing ran, found by random schedules of the forwarding parts

Cause: the end of a wait looked at whether events had been delivered, not at whether a target may have run. It now gives up as every other end does. StreamCallTest has the case and failed before.

LogCost measures the processor time of a log line.

--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamCall.java
@@ -146,11 +146,7 @@
 
     @Override
     public void onExpired() {
-        if (started) {
-            abort("no room to go on");
-        } else {
-            refuse(RefusalCode.OVERLOADED, "no room on the targets");
-        }
+        giveUp(lastProblem.isEmpty() ? "no room on the targets" : "no room on other targets after " + lastProblem);
     }
 
     /** Tells whether the caller already waits in the middle of an answer, also when it came back with a part of one. */
--- a/siskinlead-core/src/test/java/org/siskinlead/core/forwarding/StreamCallTest.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/forwarding/StreamCallTest.java
@@ -94,6 +94,18 @@
         assertThat(reply.refusal.retryAfterMillis()).isGreaterThan(0);
     }
 
+    @Test
+    void saysFailedAndNotNotRunWhenATargetBeganAndNoOtherHasRoom() {
+        RecordedReply reply = bed.send("/stream/x");
+        for (String target : List.of("east-low", "west-low")) {
+            bed.registry.find(target).get().avoid(5_000);
+        }
+        bed.link.last().fail(LinkFailure.BROKEN);
+        bed.timers.advance(3_000);
+
+        assertThat(reply.refusal.outcome()).isEqualTo(RequestOutcome.FAILED);
+    }
+
     @Test
     void saysFailedWhenATargetBeganAndNoOtherIsAllowed() {
         RecordedReply reply = bed.send("/stream/x");
--- /dev/null
+++ b/siskinlead-daemon/src/test/java/org/siskinlead/daemon/LogCost.java
@@ -0,0 +1,68 @@
+package org.siskinlead.daemon;
+
+import java.lang.management.ManagementFactory;
+import java.util.Locale;
+import org.apache.logging.log4j.Level;
+import org.siskinlead.core.timeline.EventKind;
+import org.siskinlead.core.timeline.HybridClock;
+import org.siskinlead.core.timeline.Timeline;
+
+/**
+ * Measures the processor time of a log line: the lines of requests at a given rate, against the same loop without them.
+ * Arguments: seconds, lines a second. Prints to standard error, since lines go to standard output.
+ */
+public final class LogCost {
+    private static final int WARM_UP_SECONDS = 5;
+    private static final int BATCHES_PER_SECOND = 100;
+    private static final long BATCH_MS = 10;
+
+    private LogCost() {}
+
+    public static void main(String[] arguments) throws InterruptedException {
+        int seconds = Integer.parseInt(arguments[0]);
+        int linesPerSecond = Integer.parseInt(arguments[1]);
+        LogSetup.install(Level.INFO);
+        Timeline written = Timeline.of("vm", HybridClock.of(System::currentTimeMillis), EventLog::write);
+        Timeline unwritten = Timeline.of("vm", HybridClock.of(System::currentTimeMillis), event -> {});
+        run(written, WARM_UP_SECONDS, linesPerSecond);
+        double without = run(unwritten, seconds, linesPerSecond);
+        double with = run(written, seconds, linesPerSecond);
+        System.err.printf(
+                Locale.ROOT,
+                "%d lines a second: %.4f cores without, %.4f with, %.1f us a line, %d dropped%n",
+                linesPerSecond,
+                without,
+                with,
+                (with - without) / linesPerSecond * 1e6,
+                EventLog.dropped() + LogSetup.dropped());
+    }
+
+    /** Gets the processor time in cores. */
+    private static double run(Timeline timeline, int seconds, int linesPerSecond) throws InterruptedException {
+        long began = cpuNanos();
+        long beganAt = System.nanoTime();
+        for (int batch = 0; batch < seconds * BATCHES_PER_SECOND; batch++) {
+            for (int line = 0; line < linesPerSecond / BATCHES_PER_SECOND; line++) {
+                timeline.record(
+                        EventKind.REQUEST_SENT,
+                        "request",
+                        "955001ac391e1e24",
+                        "attempt",
+                        1,
+                        "afterEvent",
+                        batch,
+                        "leftMs",
+                        19_058,
+                        "target",
+                        "i-a9f334d0cf=0-25 i-3b0c5f563c=25-37 i-2e2e855477=37-44 i-52e1f58985=44-51");
+            }
+            Thread.sleep(BATCH_MS);
+        }
+        return (cpuNanos() - began) / (double) (System.nanoTime() - beganAt);
+    }
+
+    private static long cpuNanos() {
+        return ((com.sun.management.OperatingSystemMXBean) ManagementFactory.getOperatingSystemMXBean())
+                .getProcessCpuTime();
+    }
+}
