Count a crash that was put down to another request once the request takes down a target of its own

Ruled out: the drain and the slow store (the events before the third crash are the same without them), a lost report (all arrived). A request excused in this way is now noted with the dead target as lost. That alone refuses nothing: a bystander of a trial goes on as before. With one death of its own it is refused.

--- a/siskinlead-core/src/main/java/org/siskinlead/core/retry/CrashGuard.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/retry/CrashGuard.java
@@ -265,6 +265,17 @@
         announce(new PeerMessage.CrashExposure(fingerprint, target));
     }
 
+    /**
+     * Records that a target died while it ran a request, though another request on trial there has the blame. It counts
+     * once the request has taken down a target without such an excuse.
+     * @param fingerprint fingerprint of the request
+     * @param target identity of the dead target
+     */
+    public void exposeToDeath(String fingerprint, String target) {
+        exposures.noteLost(fingerprint, target);
+        announce(new PeerMessage.CrashExposure(fingerprint, target));
+    }
+
     /**
      * Notes that a target reported, which ends exposures once it has had time to go on with its work.
      * @param target identity of the target
--- a/siskinlead-core/src/main/java/org/siskinlead/core/retry/Exposures.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/retry/Exposures.java
@@ -51,7 +51,16 @@
     }
 
     void note(String fingerprint, String target) {
-        byRequest.computeIfAbsent(fingerprint, f -> new HashMap<>()).put(target, new Exposure(timers.nowMillis()));
+        note(fingerprint, target, timers.nowMillis());
+    }
+
+    /** Notes a target that is known not to go on. */
+    void noteLost(String fingerprint, String target) {
+        note(fingerprint, target, timers.nowMillis() - LIFE_MS);
+    }
+
+    private void note(String fingerprint, String target, long since) {
+        byRequest.computeIfAbsent(fingerprint, f -> new HashMap<>()).put(target, new Exposure(since));
         if (byRequest.size() > MAX_REQUESTS) {
             byRequest.remove(byRequest.keySet().iterator().next());
         }
--- a/siskinlead-core/src/main/java/org/siskinlead/core/serving/Completion.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/serving/Completion.java
@@ -269,9 +269,12 @@
             }
             if (liveness == Targets.Liveness.DEAD && !blamedOnTrial) {
                 context.guard().report(fingerprint, target.identity(), this::beginAttemptWithinBudget);
-            } else {
-                beginAttemptWithinBudget();
+                return;
+            }
+            if (liveness == Targets.Liveness.DEAD) {
+                context.guard().exposeToDeath(fingerprint, target.identity());
             }
+            beginAttemptWithinBudget();
         });
     }
 
--- a/siskinlead-core/src/test/java/org/siskinlead/core/node/FiledSchedulesTest.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/node/FiledSchedulesTest.java
@@ -34,4 +34,19 @@
 
         assertThat(bed.judge.violations()).isEmpty();
     }
+
+    /** A request took down three targets; the first death was put down to another request, on trial there just before. */
+    @Test
+    void boundsACrashingRequestWhoseFirstCrashWasPutDownToAnother() {
+        List<Disturbance> schedule = List.of(
+                new Disturbance(249, Disturbance.Kind.KILL_ENGINE, 0, 100),
+                new Disturbance(3, Disturbance.Kind.DRAIN_DAEMON, 7, 121),
+                new Disturbance(829, Disturbance.Kind.CRASHING_REQUEST, 3, 150),
+                new Disturbance(13_930, Disturbance.Kind.STORE_SLOW, 5, 926),
+                new Disturbance(566, Disturbance.Kind.CROSSED_ANSWERS, 3, 158));
+
+        TestBed bed = RandomScheduleTest.play(schedule, 1_703, 1_703 ^ 918_273_645);
+
+        assertThat(bed.judge.violations()).isEmpty();
+    }
 }
