Let changes gather for half a second where many daemons read them

Taken: above 8 daemons a pause of 500 ms. A first change after a calm time is still read at once; a configuration and a leaving target have 3 s. Sites with 8 daemons or fewer behave as before.

--- a/siskinlead-core/src/main/java/org/siskinlead/core/roster/Roster.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/roster/Roster.java
@@ -44,6 +44,10 @@
     private static final long RENEW_OF_MANY_MS = 1_000;
     /** Wait for the answer to a renewal before another is sent: leaves time for one more within the lease's life. */
     private static final long RENEW_AGAIN_MS = 400;
+    /** Pause between two reads of changes: six reads a second at most, while each change is still used within 200 ms. */
+    private static final long GATHER_MS = 150;
+    /** The same where many read: a sixth of the 3 s in which a configuration or a leaving target must be acted on. */
+    private static final long GATHER_OF_MANY_MS = 500;
     /** Most daemons that count as few: with one lost, more than an eighth of the callers would be concerned. */
     private static final int FEW = 8;
 
@@ -137,6 +141,15 @@
         return Math.max(1, entries.size());
     }
 
+    /**
+     * Gets how long to let changes gather before they are read, once some have come. The first change after a calm time is
+     * read at once in any case.
+     * @return milliseconds; longer where many daemons read each change
+     */
+    public long gatherMillis() {
+        return isLarge() ? GATHER_OF_MANY_MS : GATHER_MS;
+    }
+
     /**
      * Tells whether this daemon gives the orders.
      * @return true while its lease is proven to live and holds the key of that leave
@@ -324,7 +337,11 @@
         if (renewing) {
             return RENEW_AGAIN_MS;
         }
-        return entries.size() > FEW ? RENEW_OF_MANY_MS : RENEW_MS;
+        return isLarge() ? RENEW_OF_MANY_MS : RENEW_MS;
+    }
+
+    private boolean isLarge() {
+        return entries.size() > FEW;
     }
 
     private void renew(long now) {
--- a/siskinlead-core/src/test/java/org/siskinlead/core/roster/RosterTest.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/roster/RosterTest.java
@@ -145,6 +145,18 @@
         assertThat(rosters.get(0).entries()).hasSize(33);
     }
 
+    @Test
+    void letsChangesGatherLongerWhereManyDaemonsReadThem() {
+        long few = rosters.get(0).gatherMillis();
+        for (int i = 3; i < 33; i++) {
+            start("vm" + i);
+        }
+        timers.advance(3_000);
+
+        assertThat(rosters.get(0).gatherMillis()).isGreaterThan(few);
+        assertThat(rosters.get(0).gatherMillis()).isAtMost(500);
+    }
+
     @Test
     void keepsManyDaemonsListedThoughEveryOtherRenewalIsLost() {
         for (int i = 3; i < 33; i++) {
