Probe again when a target whose connection broke shows itself neither alive nor dead

Likely cause: an exiting process still takes connections for a moment, so the probe after the broken connection found it silent, and the crash was not reported. Taken: five probes 30 ms apart, then the silent target counts as harmed.

--- a/siskinlead-core/src/main/java/org/siskinlead/core/serving/Completion.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/serving/Completion.java
@@ -19,6 +19,10 @@
  */
 final class Completion {
     private static final int MAX_ATTEMPTS = 5;
+    /** Probes of a target whose connection broke, and the pause between them: an exiting process is gone within 100 ms. */
+    private static final int PROBES = 5;
+
+    private static final long PROBE_AGAIN_MS = 30;
     private static final long NO_CHAIN_RETRY_MS = 50;
     private static final long NO_CHAIN_WAIT_MS = 2_000;
     private static final long COME_BACK_MS = 1_000;
@@ -262,22 +266,37 @@
         boolean blamedOnTrial = context.guard().blamesTrial(fingerprint, target.id());
         abandonChain(target);
         brokenAt = delivered.size();
-        int failedAttempt = attempt;
+        probe(target, blamedOnTrial, attempt, PROBES);
+    }
+
+    /** Probes until the target has shown itself alive or dead: a dying process takes connections for a moment. */
+    private void probe(Target target, boolean blamedOnTrial, int failedAttempt, int probesLeft) {
         context.targets().probe(target, liveness -> {
             if (ended || attempt != failedAttempt) {
                 return;
             }
-            if (liveness == Targets.Liveness.DEAD && !blamedOnTrial) {
-                context.guard().report(fingerprint, target.identity(), this::beginAttemptWithinBudget);
-                return;
-            }
-            if (liveness == Targets.Liveness.DEAD) {
-                context.guard().exposeToDeath(fingerprint, target.identity());
+            if (liveness == Targets.Liveness.SILENT && probesLeft > 1) {
+                context.timers()
+                        .after(PROBE_AGAIN_MS, () -> probe(target, blamedOnTrial, failedAttempt, probesLeft - 1));
+            } else {
+                onProbed(target, blamedOnTrial, liveness);
             }
-            beginAttemptWithinBudget();
         });
     }
 
+    private void onProbed(Target target, boolean blamedOnTrial, Targets.Liveness liveness) {
+        if (liveness == Targets.Liveness.DEAD && !blamedOnTrial) {
+            context.guard().report(fingerprint, target.identity(), this::beginAttemptWithinBudget);
+            return;
+        }
+        if (liveness == Targets.Liveness.DEAD) {
+            context.guard().exposeToDeath(fingerprint, target.identity());
+        } else if (liveness == Targets.Liveness.SILENT) {
+            context.guard().expose(fingerprint, target.identity());
+        }
+        beginAttemptWithinBudget();
+    }
+
     private void beginAttemptWithinBudget() {
         if (ended) {
             return;
--- a/siskinlead-core/src/test/java/org/siskinlead/core/fakes/FakeTargets.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/fakes/FakeTargets.java
@@ -36,6 +36,9 @@
     public final Set<String> ranSteps = new HashSet<>();
     public final List<String> violations = new ArrayList<>();
     public final Map<String, Integer> crashes = new HashMap<>();
+    /** Time for which a crashed engine's process still takes connections, and answers none. */
+    public long dyingMillis;
+
     public final List<Order> orders = new ArrayList<>();
     /** Who gave each of the orders. */
     public final List<String> orderedBy = new ArrayList<>();
@@ -54,6 +57,7 @@
         public boolean leaving;
         public boolean declining;
         int offeredWhileLeaving;
+        private long dyingUntil;
         long incarnation = 1;
         long highestFencing;
         final Map<String, Integer> nextPosition = new HashMap<>();
@@ -209,7 +213,9 @@
             public void probe(Target target, Consumer<Liveness> onLiveness) {
                 Engine engine = engines.get(target.id());
                 boolean dead = engine.dead || engine.incarnation != target.incarnation();
-                Liveness found = dead ? Liveness.DEAD : engine.frozen ? Liveness.SILENT : Liveness.ALIVE;
+                boolean dying = time.now() < engine.dyingUntil;
+                Liveness found =
+                        dead && !dying ? Liveness.DEAD : dying || engine.frozen ? Liveness.SILENT : Liveness.ALIVE;
                 time.after(engine.frozen ? 400 : 2, () -> host.enter(() -> onLiveness.accept(found)));
             }
 
@@ -254,6 +260,7 @@
     private StepResult execute(Engine engine, Step step) {
         if (step.input().contains(CRASH_WORD)) {
             kill(engine);
+            engine.dyingUntil = time.now() + dyingMillis;
             crashes.merge(step.input(), 1, Integer::sum);
             return new StepResult.Broken();
         }
--- a/siskinlead-core/src/test/java/org/siskinlead/core/retry/CrashGuardTest.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/retry/CrashGuardTest.java
@@ -81,4 +81,18 @@
                     .isAtMost(2);
         }
     }
+
+    @Test
+    void stopsAfterTwoTargetsThoughAProbeFindsTheFirstNeitherAliveNorDead() {
+        TestBed bed = TestBed.start(6, 4, 50, 1_000);
+        bed.targets.dyingMillis = 20;
+
+        for (int i = 0; i < 12; i++) {
+            bed.judge.complete(bed.host(i % 4), PROMPT, 5, 5_000);
+            bed.time.runUntil(bed.time.now() + 500);
+        }
+
+        assertThat(bed.targets.crashes.get(PROMPT)).isAtMost(2);
+        assertThat(bed.judge.violations()).isEmpty();
+    }
 }
