--- a/siskinlead-core/src/main/java/org/siskinlead/core/retry/Traces.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/retry/Traces.java
@@ -45,14 +45,14 @@
     static Traces of(Membership membership, Peers peers, Timers timers) {
         Traces traces = new Traces(membership, peers, timers);
         membership.onHead(traces::onHead);
-        timers.every(END_MS, traces::tellEnds);
+        timers.every(END_MS, traces::tick);
         return traces;
     }
 
+    // Queries
+
     /** Passes each target on which another daemon than the reporter runs a request, or ran it when it was lost. */
     void forEachElsewhere(String fingerprint, String reporter, BiConsumer<String, String> use) {
-        long now = timers.nowMillis();
-        kept.values().removeIf(k -> k.until() <= now);
         for (Kept each : kept.values()) {
             PeerMessage.CrashTrace trace = each.trace();
             if (trace.fingerprint().equals(fingerprint) && !trace.from().equals(reporter)) {
@@ -61,6 +61,8 @@
         }
     }
 
+    // Commands
+
     /** Tells the keeper where a request of this daemon begins to run. */
     void begin(String request, String fingerprint, List<String> targets) {
         PeerMessage.CrashTrace trace =
@@ -87,6 +89,8 @@
         message.requests().forEach(request -> kept.remove(message.from() + " " + request));
     }
 
+    // Helpers
+
     private void onHead(Head head) {
         String next = keeperIn(head).map(Member::id).orElse("");
         if (!next.equals(keeper)) {
@@ -95,7 +99,9 @@
         }
     }
 
-    private void tellEnds() {
+    private void tick() {
+        long now = timers.nowMillis();
+        kept.values().removeIf(k -> k.until() <= now);
         if (!ended.isEmpty()) {
             tell(new PeerMessage.CrashTracesEnded(membership.self().id(), List.copyOf(ended)));
             ended.clear();
--- a/siskinlead-daemon/src/main/java/org/siskinlead/daemon/entry/EntryServer.java
+++ b/siskinlead-daemon/src/main/java/org/siskinlead/daemon/entry/EntryServer.java
@@ -217,9 +217,10 @@
         respond(exchange, Refusal.notRun(code, detail, 0), request);
     }
 
-    /** Refuses before the call's key was looked up. */
+    /** Refuses before the key, which only calls to services have, was looked up. */
     private static void respond(HttpExchange exchange, Refusal refusal, String request) {
-        Problems.respond(exchange, refusal.speakingFor(exchange.header(KEY)), request);
+        String key = exchange.path().startsWith(SERVICES) ? exchange.header(KEY) : "";
+        Problems.respond(exchange, refusal.speakingFor(key), request);
     }
 
     private record Health(String status) {}
