Be ready only once callers can connect

Cause: readiness, directory and metrics listen before the callers' address does, and readiness looked at the configuration and its proof only; a check that comes between the two is told 200 while callers are refused. The roster waited for the callers' address already. GatewayTest failed before. Ruled out: the log (nothing had been dropped yet, 2.8 s after the start).

--- a/siskinlead-core/src/main/java/org/siskinlead/core/gateway/Gateway.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/gateway/Gateway.java
@@ -144,7 +144,7 @@
      * @return false before the first catalog, without a recent proof of it, and while stopping
      */
     public boolean isReady() {
-        return !draining && forwarder.catalog().isPresent() && freshness.isFresh();
+        return listening && !draining && forwarder.catalog().isPresent() && freshness.isFresh();
     }
 
     /**
--- a/siskinlead-core/src/test/java/org/siskinlead/core/gateway/GatewayTest.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/gateway/GatewayTest.java
@@ -64,6 +64,24 @@
         assertThat(gateways.get(0).entryAddresses()).isEmpty();
     }
 
+    @Test
+    void isNotReadyBeforeCallersCanConnect() {
+        FakeLink link = new FakeLink(timers);
+        Gateway.Ports ports = new Gateway.Ports(
+                timers, store.client(), link, (target, before, layers, answer) -> {}, () -> {}, new Random(1));
+        Gateway gateway = Gateway.start(
+                new RosterEntry("late", "late:1", "east"),
+                ports,
+                new Gateway.Bounds(ForwardingBed.FRESH_MS, new RetryShare.Budget(0.2, 40, 10_000)),
+                Timeline.of("late", HybridClock.of(timers::wallMillis), event -> {}));
+        gateway.onCatalog(ForwardingBed.catalog(1, Set.of(ForwardingBed.KEY)));
+        gateway.onProof(Freshness.Moment.now(timers));
+
+        assertThat(gateway.isReady()).isFalse();
+        gateway.onListening();
+        assertThat(gateway.isReady()).isTrue();
+    }
+
     @Test
     void namesOnlyTheOthersWhileItStops() {
         gateways.get(0).drain(GRACE_MS, () -> {});
