Make one class of what plain and streamed requests do alike

PlainCall and StreamCall had a dozen runs of the same code: the collaborators, the deadline, retries within the budget, giving up, refusing, the end for a caller who left or a daemon that stops, the recorded outcome. OpenCall has them once; what differs (how to send and send again, what an answer without outcome is called, what a deadline means, further fields of the outcome) is its hooks. Behaviour stays but for one guard: a plain request that has its outcome cannot be refused or recorded again, as was so for streams. In REQUEST_ENDED of a stream the further fields come last on the time line; log lines are sorted by name as before. The tests are unchanged: PlainCallTest, StreamCallTest, ForwarderTest, RandomForwardingTest with 400 schedules.

--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/PlainCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/PlainCall.java
@@ -1,8 +1,8 @@
 package org.siskinlead.core.forwarding;
 
 import java.io.ByteArrayOutputStream;
+import java.util.List;
 import java.util.Optional;
-import org.jspecify.annotations.Nullable;
 import org.siskinlead.core.catalog.RouteKind;
 import org.siskinlead.core.chains.PathFinder.Room;
 import org.siskinlead.core.forwarding.ForwardingCounters.Count;
@@ -17,7 +17,7 @@
  * Forwards a request whose answer is delivered whole. A request that may run once only is sent to a further target only
  * when it is known that no target ran it.
  */
-final class PlainCall implements ForwardedCall, Attempt.Owner, WaitingLine.Waiter {
+final class PlainCall extends OpenCall {
     /** Wait for a target while none is usable, in objectives. */
     private static final double WAIT_OBJECTIVES = 0.5;
     /** Wait for the head of a safe answer before another target is asked, in usual latencies. */
@@ -26,27 +26,13 @@
     private static final double MOST_PATIENCE_OBJECTIVES = 0.8;
 
     private static final double LEAST_PATIENCE_OBJECTIVES = 0.4;
-    /** Time for which a target that accepts no connection gets no request. */
-    private static final long AVOID_UNREACHABLE_MS = 1_000;
     /** Time for which a target that refused a request as not run gets no other. */
     private static final long AVOID_AFTER_REFUSAL_MS = 100;
 
     private static final int MAX_BODY_BYTES = 16_777_216;
-    private static final int MISDIRECTED = 421;
 
-    private final ForwardingContext context;
-    private final TargetChooser chooser;
-    private final WaitingLine line;
-    private final Admitted call;
-    private final Reply reply;
-    private final Runnable onDone;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
-    private final Timer deadline;
-    private final SendRecord sends;
     private Timer patience = () -> {};
-    private @Nullable Attempt attempt;
-    private @Nullable TargetAnswer head;
-    private boolean done;
 
     private PlainCall(
             ForwardingContext context,
@@ -55,15 +41,7 @@
             Admitted call,
             Reply reply,
             Runnable onDone) {
-        this.context = context;
-        this.chooser = chooser;
-        this.line = line;
-        this.call = call;
-        this.reply = reply;
-        this.onDone = onDone;
-        this.sends = new SendRecord(context, call);
-        this.deadline =
-                context.timers().after(call.deadlineAt() - context.timers().nowMillis(), this::onDeadline);
+        super(context, chooser, line, call, reply, onDone);
     }
 
     static PlainCall of(
@@ -76,14 +54,10 @@
         return new PlainCall(context, chooser, line, call, reply, onDone);
     }
 
-    @Override
-    public void begin() {
-        sendOrWait();
-    }
-
     // Sending
 
-    private void sendOrWait() {
+    @Override
+    void sendOrWait() {
         if (!trySend()) {
             context.counters().add(Count.QUEUED);
             line.add(this, Math.round(WAIT_OBJECTIVES * call.route().objectiveMillis()));
@@ -212,7 +186,7 @@
 
     /** Asks another target when one takes much longer than usual over a request that may run twice. */
     private void onImpatience(Attempt waiting) {
-        if (done || attempt != waiting || head != null || !sends.allowsAnother()) {
+        if (isDone() || attempt != waiting || head != null || !sends.allowsAnother()) {
             return;
         }
         sends.exclude(waiting.target().entry().life());
@@ -226,20 +200,13 @@
         }
     }
 
-    private void again(String reason, RetryShare.Cost cost) {
-        attempt = null;
-        if (!sends.allowsAnother()) {
-            giveUp(reason);
-        } else if (cost == RetryShare.Cost.BUDGETED
-                && !context.retries().tryRetry(call.service().name(), RetryShare.Use.REST_OF_ANSWER)) {
-            context.counters().add(Count.RETRIES_DENIED);
-            giveUp(reason + "; retry budget is spent");
-        } else {
-            resend(reason);
-        }
+    @Override
+    RetryShare.Use retryUse() {
+        return RetryShare.Use.REST_OF_ANSWER;
     }
 
-    private void resend(String reason) {
+    @Override
+    void resend(String reason) {
         attempt = null;
         context.counters().add(Count.RETRIED);
         context.timeline()
@@ -247,18 +214,11 @@
         sendOrWait();
     }
 
-    private void giveUp(String reason) {
-        if (done) {
-            return;
-        }
-        if (!sends.mayHaveRun()) {
-            refuse(RefusalCode.OVERLOADED, reason);
-            return;
-        }
-        RefusalCode code = call.route().isIdempotent() ? RefusalCode.TARGETS_FAILED : RefusalCode.OUTCOME_UNKNOWN;
-        finish(reason, code.status());
-        context.counters().refused(code);
-        reply.refuse(code == RefusalCode.OUTCOME_UNKNOWN ? Refusal.unknown(reason) : Refusal.failed(code, reason, 0));
+    @Override
+    Refusal unanswered(String reason) {
+        return call.route().isIdempotent()
+                ? Refusal.failed(RefusalCode.TARGETS_FAILED, reason, 0)
+                : Refusal.unknown(reason);
     }
 
     @Override
@@ -270,84 +230,28 @@
         }
     }
 
-    @Override
-    public boolean includes(String life) {
-        Attempt current = attempt;
-        return current != null && current.includes(life);
-    }
-
-    @Override
-    public Admitted admitted() {
-        return call;
-    }
-
     // Ends
 
-    private void onDeadline() {
-        if (done) {
+    @Override
+    void onDeadline() {
+        if (isDone()) {
             return;
         }
         if (attempt == null && !sends.mayHaveRun()) {
             refuse(RefusalCode.OVERLOADED, "no target was usable before the deadline");
-            return;
+        } else {
+            endAtDeadline();
         }
-        end("deadline passed", RefusalCode.DEADLINE_EXCEEDED.status());
-        context.counters().refused(RefusalCode.DEADLINE_EXCEEDED);
-        reply.refuse(Refusal.failed(RefusalCode.DEADLINE_EXCEEDED, "deadline passed", 0));
     }
 
     @Override
-    public void callerLeft() {
-        if (!done) {
-            context.counters().add(Count.CALLER_LEFT);
-            end("caller left", 0);
-        }
+    void finish(String reason, int status) {
+        patience.cancel();
+        super.finish(reason, status);
     }
 
     @Override
-    public void cut(String reason) {
-        if (sends.mayHaveRun() || attempt != null) {
-            end(reason, 0);
-            reply.abort();
-        } else {
-            refuse(RefusalCode.DRAINING, reason);
-        }
-    }
-
-    private void refuse(RefusalCode code, String detail) {
-        end(detail, code.status());
-        context.counters().refused(code);
-        long comeBack = new ReturnTimes(context.random()).draw(call.route());
-        reply.refuse(Refusal.notRun(code, detail, comeBack));
-    }
-
-    private void end(String reason, int status) {
-        Attempt current = attempt;
-        finish(reason, status);
-        if (current != null) {
-            current.cancel();
-        }
-    }
-
-    private void finish(String reason, int status) {
-        done = true;
-        attempt = null;
-        deadline.cancel();
-        patience.cancel();
-        line.remove(this);
-        context.timeline()
-                .record(
-                        EventKind.REQUEST_ENDED,
-                        "request",
-                        call.request().id(),
-                        "outcome",
-                        reason,
-                        "status",
-                        status,
-                        "sends",
-                        sends.sends(),
-                        "tookMs",
-                        context.timers().nowMillis() - call.receivedAt());
-        onDone.run();
+    List<Object> outcomeDetails() {
+        return List.of();
     }
 }
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamCall.java
@@ -11,14 +11,13 @@
 import org.siskinlead.core.registry.TargetHealth;
 import org.siskinlead.core.serving.Refusal;
 import org.siskinlead.core.serving.RefusalCode;
-import org.siskinlead.core.time.Timer;
 import org.siskinlead.core.timeline.EventKind;
 
 /**
  * Forwards a request whose answer is a series of events. Only whole events in their order reach the caller. A stream that
  * loses its target goes on elsewhere after the last event that was delivered, where its route allows that.
  */
-final class StreamCall implements ForwardedCall, Attempt.Owner, WaitingLine.Waiter {
+final class StreamCall extends OpenCall {
     /** Wait for a first place, in objectives; beyond that a caller is better told when to come back. */
     private static final double FIRST_WAIT_OBJECTIVES = 2.4;
     /** Wait while no path exists at all, in objectives. */
@@ -29,28 +28,13 @@
     private static final int RESUMED_PRIORITY = 0;
     /** Time for which a target that refused a request as not run gets no other. */
     private static final long AVOID_AFTER_REFUSAL_MS = 300;
-    /** Time for which a target that accepts no connection gets no request. */
-    private static final long AVOID_UNREACHABLE_MS = 1_000;
     /** Time for which a target that another one blames gets no request. */
     private static final long AVOID_BLAMED_MS = 700;
 
-    private static final int MISDIRECTED = 421;
-
-    private final ForwardingContext context;
-    private final TargetChooser chooser;
-    private final WaitingLine line;
-    private final Admitted call;
-    private final Reply reply;
-    private final Runnable onDone;
     private final ByteArrayOutputStream failureBody = new ByteArrayOutputStream();
-    private final Timer deadline;
-    private final SendRecord sends;
     private final StreamRhythm rhythm;
     private EventSplitter splitter = new EventSplitter();
-    private @Nullable Attempt attempt;
-    private @Nullable TargetAnswer head;
     private boolean started;
-    private boolean done;
     private long lastEvent;
     private String lastProblem = "";
 
@@ -61,17 +45,9 @@
             Admitted call,
             Reply reply,
             Runnable onDone) {
-        this.context = context;
-        this.chooser = chooser;
-        this.line = line;
-        this.call = call;
-        this.reply = reply;
-        this.onDone = onDone;
+        super(context, chooser, line, call, reply, onDone);
         this.lastEvent = call.request().lastEvent();
-        this.sends = new SendRecord(context, call);
         this.rhythm = new StreamRhythm(context.timers(), call.receivedAt());
-        this.deadline =
-                context.timers().after(call.deadlineAt() - context.timers().nowMillis(), this::onDeadline);
     }
 
     static StreamCall of(
@@ -84,14 +60,10 @@
         return new StreamCall(context, chooser, line, call, reply, onDone);
     }
 
-    @Override
-    public void begin() {
-        sendOrWait();
-    }
-
     // Sending
 
-    private void sendOrWait() {
+    @Override
+    void sendOrWait() {
         boolean lineFree = line.length() == 0 || resuming();
         if (lineFree && trySend()) {
             return;
@@ -317,18 +289,8 @@
         again(lastProblem, RetryShare.Cost.BUDGETED);
     }
 
-    private void again(String reason, RetryShare.Cost cost) {
-        attempt = null;
-        if (!sends.allowsAnother()) {
-            giveUp(reason);
-            return;
-        }
-        if (cost == RetryShare.Cost.BUDGETED
-                && !context.retries().tryRetry(call.service().name(), retryUse())) {
-            context.counters().add(Count.RETRIES_DENIED);
-            giveUp(reason + "; retry budget is spent");
-            return;
-        }
+    @Override
+    void resend(String reason) {
         context.counters().add(started ? Count.STREAMS_RESUMED : Count.RETRIED);
         context.timeline()
                 .record(
@@ -342,26 +304,29 @@
         sendOrWait();
     }
 
-    private RetryShare.Use retryUse() {
+    @Override
+    RetryShare.Use retryUse() {
         return started ? RetryShare.Use.REST_OF_ANSWER : RetryShare.Use.FIRST_ANSWER;
     }
 
-    private void giveUp(String reason) {
+    @Override
+    Refusal unanswered(String reason) {
+        return Refusal.failed(RefusalCode.TARGETS_FAILED, reason, 0);
+    }
+
+    @Override
+    void giveUp(String reason) {
         if (started) {
             abort(reason);
-        } else if (sends.mayHaveRun()) {
-            finish(reason, RefusalCode.TARGETS_FAILED.status());
-            context.counters().refused(RefusalCode.TARGETS_FAILED);
-            reply.refuse(Refusal.failed(RefusalCode.TARGETS_FAILED, reason, 0));
         } else {
-            refuse(RefusalCode.OVERLOADED, reason);
+            super.giveUp(reason);
         }
     }
 
     // Watching
 
     StreamRhythm.Pace pace() {
-        return attempt == null || done ? StreamRhythm.Pace.UNSURE : rhythm.pace();
+        return attempt == null || isDone() ? StreamRhythm.Pace.UNSURE : rhythm.pace();
     }
 
     /** Gets the path that the stream takes now; null while it waits or when one target runs it alone. */
@@ -376,63 +341,30 @@
         rhythm.forgivePause();
     }
 
-    @Override
-    public boolean includes(String life) {
-        Attempt current = attempt;
-        return current != null && current.includes(life);
-    }
-
-    @Override
-    public Admitted admitted() {
-        return call;
-    }
-
     // Ends
 
-    private void onDeadline() {
+    @Override
+    void onDeadline() {
         if (started) {
             abort("deadline passed");
         } else if (sends.sends() > 0) {
-            end("deadline passed", RefusalCode.DEADLINE_EXCEEDED.status());
-            context.counters().refused(RefusalCode.DEADLINE_EXCEEDED);
-            reply.refuse(Refusal.failed(RefusalCode.DEADLINE_EXCEEDED, "deadline passed", 0));
+            endAtDeadline();
         } else {
             refuse(RefusalCode.OVERLOADED, "no room before the deadline");
         }
     }
 
-    @Override
-    public void callerLeft() {
-        if (!done) {
-            context.counters().add(Count.CALLER_LEFT);
-            end("caller left", 0);
-        }
-    }
-
     @Override
     public void cut(String reason) {
         if (started) {
             abort(reason);
-        } else if (sends.mayHaveRun() || attempt != null) {
-            end(reason, 0);
-            reply.abort();
         } else {
-            refuse(RefusalCode.DRAINING, reason);
+            super.cut(reason);
         }
     }
 
-    private void refuse(RefusalCode code, String detail) {
-        if (done) {
-            return;
-        }
-        end(detail, code.status());
-        context.counters().refused(code);
-        long comeBack = new ReturnTimes(context.random()).draw(call.route());
-        reply.refuse(Refusal.notRun(code, detail, comeBack));
-    }
-
     private void abort(String reason) {
-        if (done) {
+        if (isDone()) {
             return;
         }
         context.counters().add(Count.STREAMS_ABORTED);
@@ -440,41 +372,14 @@
         reply.abort();
     }
 
-    private void end(String reason, int status) {
-        Attempt current = attempt;
-        finish(reason, status);
-        if (current != null) {
-            current.cancel();
-        }
-    }
-
-    private void finish(String reason, int status) {
-        if (done) {
-            return;
-        }
-        done = true;
-        attempt = null;
-        deadline.cancel();
-        line.remove(this);
-        context.timeline()
-                .record(
-                        EventKind.REQUEST_ENDED,
-                        "request",
-                        call.request().id(),
-                        "outcome",
-                        reason,
-                        "status",
-                        status,
-                        "lastEvent",
-                        lastEvent,
-                        "sends",
-                        sends.sends(),
-                        "firstEventMs",
-                        rhythm.firstEventAfter(),
-                        "longestPauseMs",
-                        rhythm.longestPause(),
-                        "tookMs",
-                        context.timers().nowMillis() - call.receivedAt());
-        onDone.run();
+    @Override
+    List<Object> outcomeDetails() {
+        return List.of(
+                "lastEvent",
+                lastEvent,
+                "firstEventMs",
+                rhythm.firstEventAfter(),
+                "longestPauseMs",
+                rhythm.longestPause());
     }
 }
