Admit nothing under a lowered limit until the owner knows that it fits

The owner reclaimed only from holders above the fair share.

Now a holder gives up its slots when its limit is lowered and admits only on allotments made within that limit, which an allotment names; an owner with more charged than the limit allows reclaims from every holder. An allotment of an earlier version names no limit and is applied as before; earlier versions ignore the new field.

--- a/siskinlead-core/src/main/java/org/siskinlead/core/limits/LimitHolder.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/limits/LimitHolder.java
@@ -164,7 +164,10 @@
         }
     }
 
-    /** Applies lowered limits: each holder shrinks in proportion, so the sum fits at once, before the owner acts. */
+    /**
+     * Applies lowered limits: a holder gives up its slots until the owner, which alone knows how many requests still run
+     * elsewhere, allots new ones within the lowered limit.
+     */
     public void onLimitsChanged() {
         teams.values().forEach(TeamSlots::onLimitChanged);
     }
@@ -270,9 +273,11 @@
             }
             if (allotment.sequence() > sequence) {
                 sequence = allotment.sequence();
-                boolean shrunk = allotment.slots() < allottedSlots;
-                allottedSlots = Math.min(allotment.slots(), limits.apply(team).maxConcurrent());
-                if (shrunk) {
+                int before = allottedSlots;
+                int limit = limits.apply(team).maxConcurrent();
+                boolean allottedBeforeLowering = allotment.limit() > limit;
+                allottedSlots = allottedBeforeLowering ? 0 : Math.min(allotment.slots(), limit);
+                if (allottedSlots < before) {
                     sendDemand();
                 }
             }
@@ -282,7 +287,7 @@
         void onLimitChanged() {
             int limit = limits.apply(team).maxConcurrent();
             if (limit < lastLimit) {
-                allottedSlots = (int) ((long) allottedSlots * limit / lastLimit);
+                allottedSlots = 0;
                 sendDemand();
             }
             lastLimit = limit;
--- a/siskinlead-core/src/main/java/org/siskinlead/core/limits/LimitLedger.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/limits/LimitLedger.java
@@ -40,6 +40,9 @@
     private static final class HolderAllocation {
         private long sequence;
         private int allotted;
+        /** Limit within which the slots were allotted. */
+        private int limit;
+
         private int charge;
         private int used;
         private int wanted;
@@ -110,17 +113,17 @@
         }
     }
 
-    /** Reclaims slots above the fair share of each holder while more than the limit is allocated. */
+    /**
+     * Reclaims the slots of all holders while more than the limit is allocated. Holders above the limit's rest cannot
+     * give up what they use, so the others must not start requests either until enough have ended.
+     */
     void enforce(TeamLimit limit, long epoch) {
         if (freeSlots(limit) >= 0) {
             return;
         }
-        int holders =
-                (int) allocations.values().stream().filter(a -> a.charge > 0).count();
-        int fairShare = limit.maxConcurrent() / Math.max(1, holders);
         allocations.forEach((member, allocation) -> {
-            if (allocation.charge > fairShare) {
-                reclaim(member, allocation, fairShare, epoch);
+            if (allocation.charge > 0) {
+                reclaim(member, allocation, 0, limit, epoch);
             }
         });
     }
@@ -146,7 +149,7 @@
             allocation.wanted -= granted;
             allocation.charge += granted;
             invariants.check(freeSlots(limit) >= 0, "limit-not-overlent", team);
-            allot(entry.getKey(), allocation, allocation.charge, epoch);
+            allot(entry.getKey(), allocation, allocation.charge, limit, epoch);
         }
     }
 
@@ -155,35 +158,45 @@
         if (freeSlots(limit) > 0) {
             return;
         }
+        if (freeSlots(limit) < 0) {
+            enforce(limit, epoch);
+            return;
+        }
         int active = (int)
                 allocations.values().stream().filter(a -> a.used + a.wanted > 0).count();
         int fairShare = Math.max(1, limit.maxConcurrent() / Math.max(1, active));
         allocations.forEach((member, allocation) -> {
             boolean idle = allocation.charge > allocation.used && allocation.wanted == 0;
             if (!member.equals(requester) && (idle || allocation.charge > fairShare)) {
-                reclaim(member, allocation, idle ? Math.min(allocation.used, allocation.charge) : fairShare, epoch);
+                reclaim(
+                        member,
+                        allocation,
+                        idle ? Math.min(allocation.used, allocation.charge) : fairShare,
+                        limit,
+                        epoch);
             }
         });
     }
 
     /** Allots a holder fewer slots, or resends its last allotment when that is low enough, so that it can confirm. */
-    private void reclaim(String member, HolderAllocation allocation, int slots, long epoch) {
+    private void reclaim(String member, HolderAllocation allocation, int slots, TeamLimit limit, long epoch) {
         if (allocation.allotted <= slots) {
             send(member, allocation, epoch);
         } else {
-            allot(member, allocation, slots, epoch);
+            allot(member, allocation, slots, limit, epoch);
         }
     }
 
-    private void allot(String member, HolderAllocation allocation, int slots, long epoch) {
+    private void allot(String member, HolderAllocation allocation, int slots, TeamLimit limit, long epoch) {
         allocation.allotted = slots;
+        allocation.limit = limit.maxConcurrent();
         allocation.sequence++;
         send(member, allocation, epoch);
     }
 
     private void send(String member, HolderAllocation allocation, long epoch) {
         PeerMessage.Allotment allotment = new PeerMessage.Allotment(
-                epoch, team, id, allocation.sequence, allocation.allotted, allocation.tokensTotal);
+                epoch, team, id, allocation.sequence, allocation.allotted, allocation.tokensTotal, allocation.limit);
         sender.send(member, allotment, charges());
     }
 
--- a/siskinlead-core/src/main/java/org/siskinlead/core/peer/PeerMessage.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/peer/PeerMessage.java
@@ -107,8 +107,9 @@
      * @param sequence sequence number, increasing with each allotment to the same daemon
      * @param slots number of slots that the receiver may use
      * @param tokensTotal number of requests that the receiver may have started since the ledger was opened
+     * @param limit limit of the team within which the owner allotted the slots; 0 from daemons of earlier versions
      */
-    record Allotment(long epoch, String team, long ledger, long sequence, int slots, long tokensTotal)
+    record Allotment(long epoch, String team, long ledger, long sequence, int slots, long tokensTotal, int limit)
             implements PeerMessage {}
 
     /**
--- a/siskinlead-core/src/test/java/org/siskinlead/core/limits/LimitsTest.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/limits/LimitsTest.java
@@ -84,6 +84,45 @@
         assertThat(bed.checker.violations()).isEmpty();
     }
 
+    @Test
+    void admitsNothingUnderALoweredLimitUntilEnoughRequestsHaveEnded() {
+        TestBed bed = TestBed.start(8, 4, 20, 10_000);
+        for (int i = 0; i < 9; i++) {
+            bed.checker.sendCompletion(bed.host(0), "long " + i, LONG_ANSWER_TOKENS, 7_500);
+            bed.checker.sendCompletion(bed.host(1), "also long " + i, LONG_ANSWER_TOKENS, 7_500);
+        }
+        for (int i = 0; i < 2; i++) {
+            bed.checker.sendCompletion(bed.host(2), "short " + i, 40, 7_500);
+        }
+        bed.time.runUntil(bed.time.now() + 500);
+
+        bed.vote(bed.host(3), 10, 10_000);
+        for (int i = 0; i < 200; i++) {
+            int number = i;
+            bed.time.after(100L * i, () -> bed.checker.sendCompletion(bed.host(2), "later " + number, 5, 3_000));
+        }
+        bed.time.runUntil(bed.time.now() + 20_000);
+
+        assertThat(bed.checker.violations()).isEmpty();
+    }
+
+    @Test
+    void usesTheWholeOfALoweredLimitOnceItIsFree() {
+        TestBed bed = TestBed.start(9, 4, 20, 10_000);
+        for (int i = 0; i < 20; i++) {
+            bed.checker.sendCompletion(bed.host(0), "short " + i, 40, 60_000);
+        }
+        bed.time.runUntil(bed.time.now() + 500);
+
+        bed.vote(bed.host(3), 6, 10_000);
+        bed.time.runUntil(bed.time.now() + 8_000);
+        startMany(bed, 2, 12);
+        bed.time.runUntil(bed.time.now() + 1_500);
+
+        assertThat(bed.host(2).node().limits().usedSlots(TestBed.TEAM)).isEqualTo(6);
+        assertThat(bed.checker.violations()).isEmpty();
+    }
+
     @Test
     void keepsToTheRateAndUsesNearlyAllOfIt() {
         TestBed bed = TestBed.start(6, 4, 1_000, 50);
--- a/siskinlead-core/src/test/java/org/siskinlead/core/node/RegressionSchedulesTest.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/node/RegressionSchedulesTest.java
@@ -56,6 +56,27 @@
         assertThat(bed.checker.violations()).isEmpty();
     }
 
+    /**
+     * Guards against admitting a request while requests that began under a higher limit still exceed the lowered one:
+     * one daemon kept a slot of its own although another one ran more than its part.
+     */
+    @Test
+    void admitsNothingWhileRequestsFromBeforeALoweredLimitExceedIt() {
+        List<Disturbance> schedule = List.of(
+                new Disturbance(0, Disturbance.Kind.DRAIN_DAEMON, 0, 100),
+                new Disturbance(10_257, Disturbance.Kind.LOWER_LIMIT, 1, 111),
+                new Disturbance(9_825, Disturbance.Kind.CONCURRENT_VOTES, 7, 6_260),
+                new Disturbance(374, Disturbance.Kind.STORE_READS_STALE, 2, 320),
+                new Disturbance(6, Disturbance.Kind.CRASHING_REQUEST, 4, 2_359),
+                new Disturbance(294, Disturbance.Kind.STORE_READS_STALE, 1, 111),
+                new Disturbance(3_938, Disturbance.Kind.MISMATCHED_ANSWERS, 3, 454));
+        long loadSeed = 3_062;
+
+        TestBed bed = RandomScheduleTest.runSchedule(schedule, loadSeed, loadSeed ^ 527_718_203);
+
+        assertThat(bed.checker.violations()).isEmpty();
+    }
+
     private static TestBed runSchedule(List<Disturbance> schedule, long loadSeed) {
         return RandomScheduleTest.runSchedule(schedule, loadSeed, loadSeed ^ SEED);
     }
--- a/siskinlead-protocol/src/test/java/org/siskinlead/protocol/peer/PeerCodecTest.java
+++ b/siskinlead-protocol/src/test/java/org/siskinlead/protocol/peer/PeerCodecTest.java
@@ -72,7 +72,7 @@
                         Parameter.PRIORITY,
                         new Bounds(0, 9)));
         KeyRecord record = KeyRecord.claimed("c", "vm-1/7", "f", 1_700_000_000_000L);
-        PeerMessage.Allotment allotment = new PeerMessage.Allotment(1, "t", 1, 2, 3, 4);
+        PeerMessage.Allotment allotment = new PeerMessage.Allotment(1, "t", 1, 2, 3, 4, 5);
         return List.of(
                 new PeerMessage.Heartbeat("vm-1/7", "127.0.0.1:2", 5, 6, List.of("vm-2/9")),
                 new PeerMessage.Vouch("vm-1/7", 5, 6),
