Bound answers without end in memory and time; resume streams that make no progress

Patterns: a server's bytes that are no answer and never end; a stalled stream kept alive by a byte now and then. Causes, each shown by a test that failed before: a body of one-byte chunks published a task a chunk, filled the ring buffer from the thread that empties it and stopped the daemon for good (DecisionLoopTest, EndlessBytesTest.survivesBodiesOfTinyChunks); 16 MB were allowed for each answer in a heap of 96 MB (EndlessAnswerTest); the body of a failed stream and of a report had no bound; any number of interim answers was accepted; comments and repeated events counted as progress, and a stream that stalled on a path whose engines answer probes stayed there until its caller left (StalledStreamTest). Ruled out: header sections and chunk extensions without end, which the codec already bounds.

--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/BufferedCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/BufferedCall.java
@@ -17,7 +17,7 @@
  * Forwards a request and buffers the response until it is complete. A request that is not idempotent is sent to another
  * target only when it is known that no target has executed it.
  */
-final class BufferedCall extends AbstractForwardedCall {
+final class BufferedCall extends AbstractForwardedCall implements ResponseMemory.Holder {
     /** Longest wait for a usable target, as a multiple of the latency objective. */
     private static final double QUEUE_WAIT_OBJECTIVES = 0.5;
     /** Wait for the response head of a safe request before another target is tried, in average target latencies. */
@@ -29,8 +29,6 @@
     /** Time for which a target that refused a request without running it is avoided. */
     private static final long AVOID_AFTER_REFUSAL_MS = 100;
 
-    private static final int MAX_BODY_BYTES = 16_777_216;
-
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private Timer headTimeout = () -> {};
 
@@ -76,7 +74,7 @@
         if (choice.isEmpty()) {
             return false;
         }
-        body.reset();
+        discardBody();
         head = null;
         sendHistory.onSent(choice.get().target());
         Attempt next = new Attempt(context, admitted, choice.get(), this);
@@ -125,12 +123,24 @@
     @Override
     public void onBodyChunk(Attempt from, byte[] part) {
         body.writeBytes(part);
-        if (body.size() > MAX_BODY_BYTES) {
-            from.cancel();
-            handleFailure(from, LinkFailure.MALFORMED);
+        context.responseMemory().onBuffered(this, part.length);
+    }
+
+    @Override
+    public void onMemoryExhausted() {
+        Attempt current = attempt;
+        body.reset();
+        if (current != null) {
+            current.cancel();
+            handleFailure(current, LinkFailure.MALFORMED);
         }
     }
 
+    private void discardBody() {
+        body.reset();
+        context.responseMemory().release(this);
+    }
+
     @Override
     public void onEnd(Attempt from) {
         headTimeout.cancel();
@@ -256,6 +266,7 @@
     @Override
     void finish(String reason, int status) {
         headTimeout.cancel();
+        context.responseMemory().release(this);
         super.finish(reason, status);
     }
 
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/EventSplitter.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/EventSplitter.java
@@ -10,20 +10,25 @@
     /** Id of an event without a numeric {@code id} field. */
     static final long NO_ID = -1;
 
-    private static final int MAX_EVENT_BYTES = 1_048_576;
+    private static final int MAX_EVENT_BYTES = 65_536;
 
     private final ByteArrayOutputStream event = new ByteArrayOutputStream();
     private boolean lineEmpty = true;
 
     /** A complete event, including the blank line that ends it. */
     @SuppressWarnings("ArrayRecordComponent")
-    record Event(long id, byte[] bytes) {}
+    record Event(long id, byte[] bytes) {
+        /** Tells whether the event consists of comment lines, which servers send to keep a connection open. */
+        boolean isComment() {
+            return bytes[0] == ':';
+        }
+    }
 
     /**
      * Parses the next bytes of the stream.
      * @param part the next bytes, cut at any position
      * @return events that these bytes complete
-     * @throws IllegalStateException when more than 1 MiB of an event has arrived without its end
+     * @throws IllegalStateException when more than 64 KiB of an event has arrived without its end
      */
     List<Event> feed(byte[] part) {
         List<Event> complete = new ArrayList<>();
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/Forwarder.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/Forwarder.java
@@ -122,6 +122,7 @@
                 RetryBudgetShare.of(budget, daemonCount, timers),
                 CrashSuspects.of(timers),
                 prober,
+                new ResponseMemory(),
                 counters,
                 random,
                 daemonCount);
@@ -459,6 +460,7 @@
             streams.forEach(StreamingCall::discountPause);
         } else {
             StallDetector.check(streams, context.prober());
+            streams.forEach(StreamingCall::resumeIfStuck);
         }
     }
 }
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/ForwardingContext.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/ForwardingContext.java
@@ -16,6 +16,7 @@
         RetryBudgetShare retryBudget,
         CrashSuspects suspects,
         TargetProber prober,
+        ResponseMemory responseMemory,
         ForwardingCounters counters,
         RandomGenerator random,
         IntSupplier daemonCount) {}
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamTiming.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamTiming.java
@@ -17,6 +17,11 @@
     /** Wait for the first event after which a stream is stalled. */
     private static final long FIRST_EVENT_TIMEOUT_MS = 400;
 
+    /** Pause after which a stream is stuck even if every target on its path answers probes, in gap objectives. */
+    private static final double STUCK_GAP_OBJECTIVES = 5;
+    /** Lower bound of that pause for a stream that is slow but makes progress, in average gaps between its events. */
+    private static final double STUCK_GAP_FACTOR = 3;
+
     private static final double MOVING_AVERAGE_WEIGHT = 0.2;
     private static final double INITIAL_GAP_MS = 60;
 
@@ -63,6 +68,17 @@
         return pause < MAX_FLOWING_PAUSE_MS ? Status.FLOWING : Status.UNKNOWN;
     }
 
+    /**
+     * Tells whether a stream that has begun makes no progress any more. Callers leave a stream after eight gap
+     * objectives, so it must be resumed before; one that was always slow is given more time.
+     * @param gapObjectiveMillis objective of the route for the longest gap between events, in milliseconds
+     */
+    boolean isStuck(long gapObjectiveMillis) {
+        long pause = timers.nowMillis() - lastProgressAt;
+        return !awaitingFirstEvent
+                && pause > Math.max(STUCK_GAP_OBJECTIVES * gapObjectiveMillis, STUCK_GAP_FACTOR * averageGapMillis);
+    }
+
     /** Gets the time from receipt of the request to the first event; -1 before that event. */
     long firstEventMillis() {
         return firstEventMillis;
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamingCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamingCall.java
@@ -1,8 +1,10 @@
 package org.siskinlead.core.forwarding;
 
 import java.io.ByteArrayOutputStream;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.siskinlead.core.chains.HopPath;
 import org.siskinlead.core.chains.PathFinder.MemoryCheck;
@@ -31,6 +33,9 @@
     /** Time for which a target that another target reported as faulty is avoided. */
     private static final long AVOID_REPORTED_MS = 700;
 
+    /** Largest body of a failure that is passed on; longer ones are not answers. */
+    private static final int MAX_FAILURE_BYTES = 65_536;
+
     private final ByteArrayOutputStream failureBody = new ByteArrayOutputStream();
     private final StreamTiming timing;
     private EventSplitter splitter = new EventSplitter();
@@ -167,6 +172,11 @@
         }
         if (!response.isSuccess()) {
             failureBody.writeBytes(part);
+            if (failureBody.size() > MAX_FAILURE_BYTES) {
+                failureBody.reset();
+                from.cancel();
+                handleFailure(from, LinkFailure.MALFORMED);
+            }
             return;
         }
         try {
@@ -188,6 +198,7 @@
         ByteArrayOutputStream deliverable = new ByteArrayOutputStream();
         long nextEventId = lastEventId;
         boolean gap = false;
+        boolean progress = false;
         for (EventSplitter.Event event : events) {
             if (event.id() > nextEventId + 1) {
                 gap = true;
@@ -195,15 +206,20 @@
             }
             if (event.id() == nextEventId + 1) {
                 nextEventId++;
+                progress = true;
                 deliverable.writeBytes(event.bytes());
             } else if (event.id() == EventSplitter.NO_ID) {
+                // In a stream with ids, only the next id is progress.
+                progress |= nextEventId == 0 && !event.isComment();
                 deliverable.writeBytes(event.bytes());
             }
         }
         if (deliverable.size() > 0) {
             startIfNeeded();
             reply.sendEvents(deliverable.toByteArray());
-            onProgress(from, nextEventId - lastEventId);
+            if (progress) {
+                onProgress(from, nextEventId - lastEventId);
+            }
             lastEventId = nextEventId;
         }
         if (gap) {
@@ -348,6 +364,40 @@
         return current == null ? null : current.path();
     }
 
+    /**
+     * Resumes the stream on another target when it makes no progress, although every target on its path answers probes.
+     * It stays where it is while no other target can run it.
+     */
+    void resumeIfStuck() {
+        Attempt current = attempt;
+        if (current == null
+                || isDone()
+                || lastEventId == 0
+                || !timing.isStuck(gapObjectiveMillis())
+                || !sendHistory.allowsRetry()) {
+            return;
+        }
+        String instanceId = current.target().entry().instanceId();
+        Set<String> excluded = new HashSet<>(sendHistory.excludedInstances());
+        excluded.add(instanceId);
+        if (chooser.choose(admitted, excluded, MemoryCheck.ENFORCED).isEmpty()
+                || !context.retryBudget().tryAcquire(admitted.service().name(), retryPurpose())) {
+            return;
+        }
+        current.cancel();
+        attempt = null;
+        current.target().onFailure();
+        sendHistory.exclude(instanceId);
+        sendHistory.onMayHaveRun();
+        lastFailure = instanceId + " stopped making progress";
+        retry(lastFailure);
+    }
+
+    private long gapObjectiveMillis() {
+        long gap = admitted.route().eventGapObjectiveMillis();
+        return gap > 0 ? gap : admitted.route().latencyObjectiveMillis();
+    }
+
     /** Excludes a pause of this process from the stream's timing, so that no target is suspected for it. */
     void discountPause() {
         timing.discountPause();
--- a/siskinlead-daemon/src/main/java/org/siskinlead/daemon/loop/DecisionLoop.java
+++ b/siskinlead-daemon/src/main/java/org/siskinlead/daemon/loop/DecisionLoop.java
@@ -7,6 +7,8 @@
 import com.lmax.disruptor.dsl.Disruptor;
 import com.lmax.disruptor.dsl.ProducerType;
 import io.netty.channel.EventLoop;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.RejectedExecutionException;
@@ -15,6 +17,8 @@
 import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.BooleanSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.jspecify.annotations.Nullable;
@@ -35,9 +39,16 @@
     private final ScheduledExecutorService scheduler;
     private final Runnable wake;
     private final Runnable stop;
+    private final Overflow overflow;
 
-    private DecisionLoop(RingBuffer<Slot> ring, ScheduledExecutorService scheduler, Runnable wake, Runnable stop) {
+    private DecisionLoop(
+            RingBuffer<Slot> ring,
+            Overflow overflow,
+            ScheduledExecutorService scheduler,
+            Runnable wake,
+            Runnable stop) {
         this.ring = ring;
+        this.overflow = overflow;
         this.scheduler = scheduler;
         this.wake = wake;
         this.stop = stop;
@@ -48,14 +59,25 @@
      * @return the loop
      */
     public static DecisionLoop start() {
-        ThreadFactory decisions = task -> daemonThread(task, "decisions");
+        AtomicReference<@Nullable Thread> decisionThread = new AtomicReference<>();
+        ThreadFactory decisions = task -> {
+            Thread thread = daemonThread(task, "decisions");
+            decisionThread.set(thread);
+            return thread;
+        };
+        Overflow overflow = Overflow.of(() -> Thread.currentThread().equals(decisionThread.get()));
         Disruptor<Slot> disruptor =
                 new Disruptor<>(Slot::new, RING_SLOTS, decisions, ProducerType.MULTI, new BlockingWaitStrategy());
-        disruptor.handleEventsWith((slot, sequence, endOfBatch) -> slot.run());
+        disruptor.handleEventsWith((slot, sequence, endOfBatch) -> {
+            slot.runSafely();
+            if (endOfBatch && sequence >= overflow.afterSequence) {
+                overflow.runAll();
+            }
+        });
         disruptor.setDefaultExceptionHandler(new LoggingExceptionHandler());
         ScheduledThreadPoolExecutor timers = new ScheduledThreadPoolExecutor(1, task -> daemonThread(task, "timers"));
         timers.setRemoveOnCancelPolicy(true);
-        return new DecisionLoop(disruptor.start(), timers, () -> {}, () -> {
+        return new DecisionLoop(disruptor.start(), overflow, timers, () -> {}, () -> {
             timers.shutdownNow();
             disruptor.halt();
         });
@@ -71,19 +93,20 @@
         EventPoller<Slot> poller = ring.newPoller();
         ring.addGatingSequences(poller.getSequence());
         AtomicBoolean pollScheduled = new AtomicBoolean();
+        Overflow overflow = Overflow.of(eventLoop::inEventLoop);
         Runnable poll = () -> {
             pollScheduled.set(false);
-            runPending(poller);
+            runPending(poller, overflow);
         };
         Runnable wake = () -> {
             if (pollScheduled.compareAndSet(false, true)) {
                 eventLoop.execute(poll);
             }
         };
-        return new DecisionLoop(ring, eventLoop, wake, () -> {});
+        return new DecisionLoop(ring, overflow, eventLoop, wake, () -> {});
     }
 
-    private static void runPending(EventPoller<Slot> poller) {
+    private static void runPending(EventPoller<Slot> poller, Overflow overflow) {
         try {
             EventPoller.PollState state = EventPoller.PollState.PROCESSING;
             while (state == EventPoller.PollState.PROCESSING) {
@@ -92,17 +115,23 @@
                     return true;
                 });
             }
+            overflow.runAll();
         } catch (Exception e) {
             LOG.error("polling the ring buffer failed", e);
         }
     }
 
     /**
-     * Publishes a task; blocks while the ring buffer is full.
+     * Publishes a task. Blocks while the ring buffer is full, except on the decision thread itself, which would wait for
+     * itself to empty the buffer.
      * @param task task to run on the decision thread
      */
     public void publish(Runnable task) {
-        ring.publishEvent((slot, sequence) -> slot.task = task);
+        if (!overflow.takesFromThisThread()) {
+            ring.publishEvent((slot, sequence) -> slot.task = task);
+        } else if (!overflow.isEmpty() || !ring.tryPublishEvent((slot, sequence) -> slot.task = task)) {
+            overflow.add(task, ring.getCursor());
+        }
         wake.run();
     }
 
@@ -152,6 +181,45 @@
         stop.run();
     }
 
+    /** Tasks that the decision thread published while the ring buffer was full; they run after those in the buffer. */
+    private static final class Overflow {
+        private final BooleanSupplier onDecisionThread;
+        private final Deque<Runnable> tasks = new ArrayDeque<>();
+        /** Sequence in the ring buffer of the last task that was published before the oldest one here. */
+        private long afterSequence;
+
+        private Overflow(BooleanSupplier onDecisionThread) {
+            this.onDecisionThread = onDecisionThread;
+        }
+
+        /** Creates an overflow for a loop whose thread may publish while the buffer is full. */
+        static Overflow of(BooleanSupplier onDecisionThread) {
+            return new Overflow(onDecisionThread);
+        }
+
+        boolean takesFromThisThread() {
+            return onDecisionThread.getAsBoolean();
+        }
+
+        boolean isEmpty() {
+            return tasks.isEmpty();
+        }
+
+        void add(Runnable task, long lastSequence) {
+            if (tasks.isEmpty()) {
+                afterSequence = lastSequence;
+            }
+            tasks.add(task);
+        }
+
+        /** Runs all tasks, also those that they add. */
+        void runAll() {
+            while (!tasks.isEmpty()) {
+                new Slot(tasks.remove()).runSafely();
+            }
+        }
+    }
+
     private static Thread daemonThread(Runnable task, String name) {
         Thread thread = Executors.defaultThreadFactory().newThread(task);
         thread.setName(name);
@@ -162,6 +230,12 @@
     private static final class Slot {
         private @Nullable Runnable task;
 
+        Slot() {}
+
+        Slot(Runnable task) {
+            this.task = task;
+        }
+
         void run() {
             Runnable current = task;
             task = null;
--- a/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/StreamingClient.java
+++ b/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/StreamingClient.java
@@ -2,7 +2,9 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -34,8 +36,19 @@
  */
 public final class StreamingClient {
     private static final int MAX_LINE_BYTES = 8_192;
-    private static final int MAX_HEADER_BYTES = 65_536;
+    private static final int MAX_HEADER_BYTES = 16_384;
     private static final int MAX_CHUNK_BYTES = 65_536;
+    /** Pieces of a body after which their average size must be at least {@link #MIN_AVERAGE_PIECE_BYTES}. */
+    private static final int MAX_TINY_PIECES = 4_096;
+    /** Smaller pieces cost more to decode than they bring. */
+    private static final int MIN_AVERAGE_PIECE_BYTES = 8;
+    /** Interim responses (1xx) accepted before the final one. */
+    private static final int MAX_INTERIM_RESPONSES = 8;
+    /** Largest read from a connection before other connections have their turn. */
+    private static final int MAX_READ_BYTES = 16_384;
+
+    private static final int MIN_READ_BYTES = 256;
+    private static final int INITIAL_READ_BYTES = 2_048;
 
     private final EventLoopGroup group;
 
@@ -74,7 +87,7 @@
         void onHead(int status, List<HeaderField> headers);
 
         /**
-         * Receives the next bytes of the body.
+         * Receives the next bytes of the body, at most once for each read from the connection.
          * @param chunk at least one byte, without transfer coding
          */
         void onBodyChunk(byte[] chunk);
@@ -142,6 +155,10 @@
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMillis)
+                .option(
+                        ChannelOption.RECVBUF_ALLOCATOR,
+                        new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES)
+                                .maxMessagesPerRead(1))
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel socket) {
@@ -160,6 +177,10 @@
     private static final class ResponseHandler extends SimpleChannelInboundHandler<HttpObject> {
         private final Listener listener;
         private volatile boolean ended;
+        private final List<byte[]> bodyOfRead = new ArrayList<>();
+        private long bodyBytes;
+        private int pieces;
+        private int interimResponses;
         private boolean interim;
         private boolean headReceived;
         private boolean connectionBroken;
@@ -188,6 +209,7 @@
 
         void fail(Failure failure) {
             if (!ended) {
+                passBodyOn();
                 ended = true;
                 listener.onFailure(failure);
             }
@@ -205,6 +227,11 @@
             }
             if (message instanceof HttpResponse response) {
                 onResponse(response);
+                if (interimResponses > MAX_INTERIM_RESPONSES) {
+                    fail(Failure.MALFORMED);
+                    context.close();
+                    return;
+                }
             }
             if (message instanceof HttpContent content && !interim) {
                 onContent(context, content);
@@ -214,6 +241,7 @@
         private void onResponse(HttpResponse response) {
             interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
             if (interim) {
+                interimResponses++;
                 return;
             }
             headReceived = true;
@@ -227,12 +255,20 @@
             if (bytes.isReadable()) {
                 byte[] part = new byte[bytes.readableBytes()];
                 bytes.readBytes(part);
-                listener.onBodyChunk(part);
+                bodyOfRead.add(part);
+                bodyBytes += part.length;
+                pieces++;
+            }
+            if (pieces > MAX_TINY_PIECES && bodyBytes < (long) MIN_AVERAGE_PIECE_BYTES * pieces) {
+                fail(Failure.MALFORMED);
+                context.close();
+                return;
             }
             if (content instanceof LastHttpContent && headReceived) {
                 if (connectionBroken) {
                     fail(Failure.BROKEN);
                 } else if (!ended) {
+                    passBodyOn();
                     ended = true;
                     listener.onEnd();
                 }
@@ -240,6 +276,26 @@
             }
         }
 
+        /** Passes on what one read has brought. A read may hold thousands of chunks, too many to pass on one by one. */
+        @Override
+        public void channelReadComplete(ChannelHandlerContext context) {
+            if (!ended) {
+                passBodyOn();
+            }
+            context.fireChannelReadComplete();
+        }
+
+        private void passBodyOn() {
+            if (bodyOfRead.isEmpty()) {
+                return;
+            }
+            byte[] body = bodyOfRead.size() == 1
+                    ? bodyOfRead.get(0)
+                    : ByteBufUtil.getBytes(Unpooled.wrappedBuffer(bodyOfRead.toArray(new byte[0][])));
+            bodyOfRead.clear();
+            listener.onBodyChunk(body);
+        }
+
         @Override
         public void channelInactive(ChannelHandlerContext context) {
             fail(Failure.BROKEN);
