Answer what was accepted before a planned stop; give each store call its own connection

Planned stop under load: 36 to 38 requests of 24 callers were cut off when the process ended while answers were in flight or requests had just arrived (PlannedStopTest). Now the listener takes what the system holds, closes, and the process waits until every request that has begun to arrive is answered; requests that outlast the grace period get an honest failure. Late second copy of an answer: store answers name no call, so a copy on a kept connection was taken for the next answer, as a proof or a commit (StoreClientTest.takesNoLateCopyOfAnEarlierAnswer). Each call now has a connection of its own, in the product's own form too.

--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/AbstractForwardedCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/AbstractForwardedCall.java
@@ -140,8 +140,10 @@
     @Override
     public void terminate(String reason) {
         if (sendHistory.mayHaveRun() || attempt != null) {
-            end(reason, 0);
-            reply.abort();
+            Refusal refusal = failureRefusal(reason);
+            end(reason, refusal.code().status());
+            context.counters().incrementRefusals(refusal.code());
+            reply.refuse(refusal);
         } else {
             refuse(RefusalCode.DRAINING, reason);
         }
--- a/siskinlead-core/src/main/java/org/siskinlead/core/gateway/Gateway.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/gateway/Gateway.java
@@ -280,6 +280,7 @@
             return;
         }
         timeline.record(EventKind.DRAIN_DONE, "tookMs", elapsedMillis, "cut", forwarder.inFlight());
+        forwarder.drainUntil(timers.nowMillis());
         forwarder.terminateAll("the daemon shut down before the request ended");
         onDone.run();
     }
--- a/siskinlead-daemon/src/main/java/org/siskinlead/daemon/Daemon.java
+++ b/siskinlead-daemon/src/main/java/org/siskinlead/daemon/Daemon.java
@@ -5,9 +5,11 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.util.Objects;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
+import org.jspecify.annotations.Nullable;
 import org.siskinlead.core.invariant.Invariants;
 import org.siskinlead.core.membership.Member;
 import org.siskinlead.core.node.Node;
@@ -34,6 +36,8 @@
 final class Daemon {
     private static final int NETWORK_THREADS = 2;
     private static final int CONNECT_TIMEOUT_MS = 500;
+    /** Longest time after a drain for which answers to the last requests are sent. */
+    private static final long MAX_ANSWER_WAIT_MS = 1_000;
 
     private final DecisionLoop loop = DecisionLoop.start();
     private final EventLoopGroup eventLoopGroup =
@@ -45,6 +49,7 @@
     private final PlatformClient platform;
     private final TargetClient targets;
     private final Supplier<String> ids;
+    private volatile @Nullable HttpServer callers;
 
     private Daemon(Settings settings) {
         this.settings = settings;
@@ -79,7 +84,7 @@
         peers.listen(node::onPeerMessage, address -> node.membership().onConnectionRefused(address));
         OperatorEndpoints operator = OperatorEndpoints.of(node, metrics(), this::drain);
         EntryServer entry = EntryServer.of(node, loop, ids, operator, settings.operatorTokenSha256());
-        HttpServer.start(Addresses.parse(settings.entryAddress()), eventLoopGroup, HttpLimits.CALLERS, entry);
+        callers = HttpServer.start(Addresses.parse(settings.entryAddress()), eventLoopGroup, HttpLimits.CALLERS, entry);
         loop.publish(() -> {
             node.start();
             VmPoller.start(node, platform, targets, loop);
@@ -88,7 +93,8 @@
     }
 
     private void drain() {
-        node.drain(drained::countDown);
+        HttpServer server = Objects.requireNonNull(callers, "callers");
+        node.drain(() -> server.drain(MAX_ANSWER_WAIT_MS, drained::countDown));
     }
 
     /** Drains the daemon when the JVM receives a termination signal. */
--- a/siskinlead-daemon/src/main/java/org/siskinlead/daemon/platform/PlatformClient.java
+++ b/siskinlead-daemon/src/main/java/org/siskinlead/daemon/platform/PlatformClient.java
@@ -113,7 +113,7 @@
                 Map.of(),
                 body,
                 REQUEST_TIMEOUT_MS,
-                Reuse.POOLED,
+                Reuse.FRESH,
                 result -> loop.publish(() -> onResult.accept(result)));
     }
 
--- a/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/ConnectionTimeouts.java
+++ b/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/ConnectionTimeouts.java
@@ -7,16 +7,22 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.jspecify.annotations.Nullable;
 
-/** Closes a connection when a request stays incomplete or no request arrives for too long. */
+/**
+ * Closes a connection when a request stays incomplete or no request arrives for too long, and counts the connections on
+ * which a request has begun to arrive and is not yet answered.
+ */
 final class ConnectionTimeouts {
     private final HttpLimits limits;
+    private final AtomicInteger busyConnections;
     private @Nullable Future<?> closeTimer;
     private boolean receiving;
 
-    ConnectionTimeouts(HttpLimits limits) {
+    ConnectionTimeouts(HttpLimits limits, AtomicInteger busyConnections) {
         this.limits = limits;
+        this.busyConnections = busyConnections;
     }
 
     /** Creates a handler of raw bytes, which times a slowly sent header section from its first byte. */
@@ -32,6 +38,7 @@
             public void channelRead(ChannelHandlerContext context, Object message) {
                 if (!receiving) {
                     receiving = true;
+                    busyConnections.incrementAndGet();
                     scheduleClose(context, limits.headerMillis());
                 }
                 context.fireChannelRead(message);
@@ -40,6 +47,7 @@
             @Override
             public void channelInactive(ChannelHandlerContext context) {
                 cancelTimer();
+                onNotBusy();
                 context.fireChannelInactive();
             }
         };
@@ -62,10 +70,17 @@
 
     /** Starts the idle timeout until the next request. */
     void onIdle(ChannelHandlerContext context) {
-        receiving = false;
+        onNotBusy();
         scheduleClose(context, limits.idleMillis());
     }
 
+    private void onNotBusy() {
+        if (receiving) {
+            receiving = false;
+            busyConnections.decrementAndGet();
+        }
+    }
+
     private void scheduleClose(ChannelHandlerContext context, long millis) {
         cancelTimer();
         closeTimer = context.executor().schedule(() -> context.close(), millis, TimeUnit.MILLISECONDS);
--- a/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/HttpClient.java
+++ b/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/HttpClient.java
@@ -15,8 +15,10 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.AttributeKey;
@@ -30,7 +32,7 @@
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 
-/** Sends HTTP/1.1 requests over pooled connections. A connection carries one exchange at a time. */
+/** Sends HTTP/1.1 requests over pooled or new connections. A connection carries one exchange at a time. */
 public final class HttpClient {
     private static final int MAX_IDLE_CONNECTIONS_PER_ADDRESS = 128;
     private static final int MAX_RESPONSE_BYTES = 2_000_000;
@@ -82,9 +84,15 @@
 
     /** Whether an exchange may reuse a connection. */
     public enum Reuse {
-        /** Reuses an idle connection if any; if the peer has just closed it, the exchange is {@code BROKEN}. */
+        /**
+         * Reuses an idle connection if any; if the peer has just closed it, the exchange is {@code BROKEN}. A peer that
+         * sends an answer twice can spoil the next exchange, so the answer must name what it answers.
+         */
         POOLED,
-        /** Opens a new connection, so that a refusal proves that nothing was sent. */
+        /**
+         * Opens a connection for this exchange only, so that a refusal proves that nothing was sent, and the answer
+         * cannot be a late copy of an earlier one.
+         */
         FRESH
     }
 
@@ -114,7 +122,10 @@
         request.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
         request.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.length);
         headers.forEach((name, value) -> request.headers().set(name, value));
-        Exchange exchange = new Exchange(address, onResult);
+        if (reuse == Reuse.FRESH) {
+            request.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        }
+        Exchange exchange = new Exchange(address, reuse, onResult);
         Channel pooled = reuse == Reuse.POOLED ? takeIdleChannel(address) : null;
         if (pooled != null) {
             write(pooled, exchange, request, timeoutMillis);
@@ -197,6 +208,13 @@
     private final class ResponseHandler extends SimpleChannelInboundHandler<FullHttpResponse> {
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
+            if (response.decoderResult().isFailure()) {
+                context.close();
+                return;
+            }
+            if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+                return;
+            }
             Exchange exchange = context.channel().attr(EXCHANGE).getAndSet(null);
             if (exchange == null) {
                 context.close();
@@ -204,8 +222,7 @@
             }
             byte[] body = new byte[response.content().readableBytes()];
             response.content().readBytes(body);
-            boolean keepAlive = HttpUtil.isKeepAlive(response);
-            if (keepAlive) {
+            if (exchange.reuse == Reuse.POOLED && HttpUtil.isKeepAlive(response)) {
                 releaseChannel(exchange.address, context.channel());
             } else {
                 context.close();
@@ -229,12 +246,14 @@
 
     private static final class Exchange {
         private final InetSocketAddress address;
+        private final Reuse reuse;
         private final Consumer<Result> onResult;
         private @Nullable ScheduledFuture<?> timeout;
         private boolean ended;
 
-        Exchange(InetSocketAddress address, Consumer<Result> onResult) {
+        Exchange(InetSocketAddress address, Reuse reuse, Consumer<Result> onResult) {
             this.address = address;
+            this.reuse = reuse;
             this.onResult = onResult;
         }
 
--- a/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/HttpExchange.java
+++ b/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/HttpExchange.java
@@ -262,7 +262,7 @@
 
     private void finish(ChannelFuture writeFuture) {
         if (keepAlive && !closeAfterResponse) {
-            onResponded.run();
+            writeFuture.addListener(written -> onResponded.run());
         } else {
             writeFuture.addListener(ChannelFutureListener.CLOSE);
         }
--- a/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/HttpServer.java
+++ b/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/HttpServer.java
@@ -6,8 +6,10 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -22,6 +24,8 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 
@@ -33,12 +37,19 @@
     /** High-water mark of unsent bytes: above it {@link HttpExchange#isReaderSlow} is true, until half are left. */
     private static final int MAX_UNSENT_BYTES = 1_048_576;
 
+    /** Time for which connections that were accepted last may send their first request when the server drains. */
+    private static final long DRAIN_LINGER_MS = 100;
+
+    private static final long DRAIN_POLL_INTERVAL_MS = 10;
+
     private static final byte[] MALFORMED = "malformed HTTP request".getBytes(StandardCharsets.UTF_8);
 
     private final Channel channel;
+    private final AtomicInteger busyConnections;
 
-    private HttpServer(Channel channel) {
+    private HttpServer(Channel channel, AtomicInteger busyConnections) {
         this.channel = channel;
+        this.busyConnections = busyConnections;
     }
 
     /**
@@ -68,20 +79,25 @@
     public static HttpServer start(
             InetSocketAddress address, EventLoopGroup group, Supplier<HttpLimits> limits, ExchangeHandler handler)
             throws InterruptedException {
+        AtomicInteger busyConnections = new AtomicInteger();
         Channel channel = new ServerBootstrap()
                 .group(group)
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
+                // Accepts all that are waiting, so that closing the server cuts off as few as possible.
+                .option(
+                        ChannelOption.RECVBUF_ALLOCATOR,
+                        new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(BACKLOG))
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(
                         ChannelOption.WRITE_BUFFER_WATER_MARK,
                         new WriteBufferWaterMark(MAX_UNSENT_BYTES / 2, MAX_UNSENT_BYTES))
-                .childHandler(new PipelineInitializer(limits, handler))
+                .childHandler(new PipelineInitializer(limits, handler, busyConnections))
                 .bind(address)
                 .sync()
                 .channel();
-        return new HttpServer(channel);
+        return new HttpServer(channel, busyConnections);
     }
 
     /**
@@ -98,13 +114,46 @@
         channel.close();
     }
 
+    /**
+     * Stops accepting connections and waits until every request that has begun to arrive is answered, and the answer
+     * handed to the operating system. The handler should refuse what arrives from now on.
+     * @param maxMillis longest time to wait, in milliseconds
+     * @param onDrained runs once, on a network thread
+     */
+    public void drain(long maxMillis, Runnable onDrained) {
+        channel.eventLoop().execute(() -> {
+            if (channel.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe) {
+                // Accepts those that the operating system holds: closing the socket would reset them.
+                unsafe.read();
+            }
+            channel.close();
+            pollDrained(System.nanoTime(), maxMillis, onDrained);
+        });
+    }
+
+    private void pollDrained(long startedAtNanos, long maxMillis, Runnable onDrained) {
+        long elapsedMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedAtNanos);
+        boolean drained = elapsedMillis >= DRAIN_LINGER_MS && busyConnections.get() == 0;
+        if (drained || elapsedMillis >= maxMillis) {
+            onDrained.run();
+            return;
+        }
+        channel.eventLoop()
+                .schedule(
+                        () -> pollDrained(startedAtNanos, maxMillis, onDrained),
+                        DRAIN_POLL_INTERVAL_MS,
+                        TimeUnit.MILLISECONDS);
+    }
+
     private static final class PipelineInitializer extends ChannelInitializer<SocketChannel> {
         private final Supplier<HttpLimits> limits;
         private final ExchangeHandler handler;
+        private final AtomicInteger busyConnections;
 
-        PipelineInitializer(Supplier<HttpLimits> limits, ExchangeHandler handler) {
+        PipelineInitializer(Supplier<HttpLimits> limits, ExchangeHandler handler, AtomicInteger busyConnections) {
             this.limits = limits;
             this.handler = handler;
+            this.busyConnections = busyConnections;
         }
 
         @Override
@@ -113,7 +162,7 @@
             HttpDecoderConfig config = new HttpDecoderConfig()
                     .setMaxInitialLineLength(MAX_LINE_BYTES)
                     .setMaxHeaderSize(bounds.maxHeaderBytes());
-            ConnectionTimeouts timeouts = new ConnectionTimeouts(bounds);
+            ConnectionTimeouts timeouts = new ConnectionTimeouts(bounds, busyConnections);
             socket.pipeline()
                     .addLast(timeouts.beforeCodec())
                     .addLast(new HttpServerCodec(config))
