Set up logging and metrics after the start; wait for first requests when a server drains

Cause of late service after kills and power losses: on VMs with a fraction of a core the start's processor time binds. Half of it was setting up logging (Log4j core, and SLF4J through the metrics), a fifth the locale data that Jackson's date format loads. Ruled out: the JSON template layout (a hand-written one starts no sooner).

--- a/siskinlead-daemon/src/main/java/org/siskinlead/daemon/LogSetup.java
+++ b/siskinlead-daemon/src/main/java/org/siskinlead/daemon/LogSetup.java
@@ -1,5 +1,6 @@
 package org.siskinlead.daemon;
 
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.LongAdder;
 import org.apache.logging.log4j.Level;
 import org.apache.logging.log4j.core.Appender;
@@ -27,6 +28,7 @@
     private static final int RESERVED_LINES = 64;
 
     private static final String OUTPUT_APPENDER = "stdout";
+    private static final AtomicBoolean INSTALLED = new AtomicBoolean();
     private static final LongAdder DROPPED = new LongAdder();
 
     private LogSetup() {}
@@ -36,7 +38,14 @@
      * @param level lowest level that is written
      */
     public static void install(Level level) {
-        Configurator.initialize(new JsonLinesConfiguration(level));
+        if (INSTALLED.compareAndSet(false, true)) {
+            Configurator.initialize(new JsonLinesConfiguration(level));
+        }
+    }
+
+    /** Configures logging for level INFO, unless it is configured. */
+    public static synchronized void installIfAbsent() {
+        install(Level.INFO);
     }
 
     /**
--- a/siskinlead-daemon/src/main/java/org/siskinlead/daemon/loop/DecisionLoop.java
+++ b/siskinlead-daemon/src/main/java/org/siskinlead/daemon/loop/DecisionLoop.java
@@ -19,11 +19,10 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
 import org.jspecify.annotations.Nullable;
 import org.siskinlead.core.time.Timer;
 import org.siskinlead.core.time.Timers;
+import org.siskinlead.daemon.LazyLogger;
 
 /**
  * Runs all tasks that read or change the daemon's state on one thread, the decision thread, in the order in which they
@@ -31,7 +30,7 @@
  * VMs with a fraction of a core, handing over between two threads costs more than most tasks.
  */
 public final class DecisionLoop implements Timers, AutoCloseable {
-    private static final Logger LOG = LogManager.getLogger(DecisionLoop.class);
+    private static final LazyLogger LOG = LazyLogger.of(DecisionLoop.class);
     private static final int RING_SLOTS = 16_384;
     private static final long NANOS_PER_MS = 1_000_000;
 
@@ -117,7 +116,7 @@
             }
             overflow.runAll();
         } catch (Exception e) {
-            LOG.error("polling the ring buffer failed", e);
+            LOG.get().error("polling the ring buffer failed", e);
         }
     }
 
@@ -171,7 +170,7 @@
             Future<?> scheduled = scheduler.schedule(() -> publish(task), delayMillis, TimeUnit.MILLISECONDS);
             return () -> scheduled.cancel(false);
         } catch (RejectedExecutionException e) {
-            LOG.debug("timer not scheduled because the scheduler is shut down", e);
+            LOG.get().debug("timer not scheduled because the scheduler is shut down", e);
             return () -> {};
         }
     }
@@ -249,7 +248,7 @@
             try {
                 run();
             } catch (RuntimeException e) {
-                LOG.error("uncaught exception in a task on the decision thread", e);
+                LOG.get().error("uncaught exception in a task on the decision thread", e);
             }
         }
     }
@@ -257,17 +256,17 @@
     private static final class LoggingExceptionHandler implements ExceptionHandler<Slot> {
         @Override
         public void handleEventException(Throwable thrown, long sequence, Slot slot) {
-            LOG.error("uncaught exception in a task on the decision thread", thrown);
+            LOG.get().error("uncaught exception in a task on the decision thread", thrown);
         }
 
         @Override
         public void handleOnStartException(Throwable thrown) {
-            LOG.error("decision thread failed to start", thrown);
+            LOG.get().error("decision thread failed to start", thrown);
         }
 
         @Override
         public void handleOnShutdownException(Throwable thrown) {
-            LOG.error("decision thread failed while stopping", thrown);
+            LOG.get().error("decision thread failed while stopping", thrown);
         }
     }
 }
--- a/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/ConnectionTimeouts.java
+++ b/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/ConnectionTimeouts.java
@@ -7,22 +7,22 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 import org.jspecify.annotations.Nullable;
 
 /**
- * Closes a connection when a request stays incomplete or no request arrives for too long, and counts the connections on
- * which a request has begun to arrive and is not yet answered.
+ * Closes a connection when a request stays incomplete or no request arrives for too long, and keeps the counts of such
+ * connections.
  */
 final class ConnectionTimeouts {
     private final HttpLimits limits;
-    private final AtomicInteger busyConnections;
+    private final ConnectionCounts counts;
     private @Nullable Future<?> closeTimer;
+    private boolean unused;
     private boolean receiving;
 
-    ConnectionTimeouts(HttpLimits limits, AtomicInteger busyConnections) {
+    ConnectionTimeouts(HttpLimits limits, ConnectionCounts counts) {
         this.limits = limits;
-        this.busyConnections = busyConnections;
+        this.counts = counts;
     }
 
     /** Creates a handler of raw bytes, which times a slowly sent header section from its first byte. */
@@ -30,15 +30,18 @@
         return new ChannelInboundHandlerAdapter() {
             @Override
             public void channelActive(ChannelHandlerContext context) {
+                counts.unused.incrementAndGet();
+                unused = true;
                 onIdle(context);
                 context.fireChannelActive();
             }
 
             @Override
             public void channelRead(ChannelHandlerContext context, Object message) {
+                onUsed();
                 if (!receiving) {
                     receiving = true;
-                    busyConnections.incrementAndGet();
+                    counts.busy.incrementAndGet();
                     scheduleClose(context, limits.headerMillis());
                 }
                 context.fireChannelRead(message);
@@ -47,6 +50,7 @@
             @Override
             public void channelInactive(ChannelHandlerContext context) {
                 cancelTimer();
+                onUsed();
                 onNotBusy();
                 context.fireChannelInactive();
             }
@@ -74,10 +78,17 @@
         scheduleClose(context, limits.idleMillis());
     }
 
+    private void onUsed() {
+        if (unused) {
+            unused = false;
+            counts.unused.decrementAndGet();
+        }
+    }
+
     private void onNotBusy() {
         if (receiving) {
             receiving = false;
-            busyConnections.decrementAndGet();
+            counts.busy.decrementAndGet();
         }
     }
 
--- a/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/HttpServer.java
+++ b/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/HttpServer.java
@@ -25,7 +25,6 @@
 import java.util.Deque;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 
@@ -37,19 +36,22 @@
     /** High-water mark of unsent bytes: above it {@link HttpExchange#isReaderSlow} is true, until half are left. */
     private static final int MAX_UNSENT_BYTES = 1_048_576;
 
-    /** Time for which connections that were accepted last may send their first request when the server drains. */
+    /** Time for which a draining server waits at least, for requests that are on their way. */
     private static final long DRAIN_LINGER_MS = 100;
 
+    /** Longest wait, when the server drains, for the first request of a connection on which nothing has arrived. */
+    private static final long FIRST_REQUEST_WAIT_MS = 1_000;
+
     private static final long DRAIN_POLL_INTERVAL_MS = 10;
 
     private static final byte[] MALFORMED = "malformed HTTP request".getBytes(StandardCharsets.UTF_8);
 
     private final Channel channel;
-    private final AtomicInteger busyConnections;
+    private final ConnectionCounts counts;
 
-    private HttpServer(Channel channel, AtomicInteger busyConnections) {
+    private HttpServer(Channel channel, ConnectionCounts counts) {
         this.channel = channel;
-        this.busyConnections = busyConnections;
+        this.counts = counts;
     }
 
     /**
@@ -79,7 +81,7 @@
     public static HttpServer start(
             InetSocketAddress address, EventLoopGroup group, Supplier<HttpLimits> limits, ExchangeHandler handler)
             throws InterruptedException {
-        AtomicInteger busyConnections = new AtomicInteger();
+        ConnectionCounts counts = new ConnectionCounts();
         Channel channel = new ServerBootstrap()
                 .group(group)
                 .channel(NioServerSocketChannel.class)
@@ -93,11 +95,11 @@
                 .childOption(
                         ChannelOption.WRITE_BUFFER_WATER_MARK,
                         new WriteBufferWaterMark(MAX_UNSENT_BYTES / 2, MAX_UNSENT_BYTES))
-                .childHandler(new PipelineInitializer(limits, handler, busyConnections))
+                .childHandler(new PipelineInitializer(limits, handler, counts))
                 .bind(address)
                 .sync()
                 .channel();
-        return new HttpServer(channel, busyConnections);
+        return new HttpServer(channel, counts);
     }
 
     /**
@@ -133,7 +135,9 @@
 
     private void pollDrained(long startedAtNanos, long maxMillis, Runnable onDrained) {
         long elapsedMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedAtNanos);
-        boolean drained = elapsedMillis >= DRAIN_LINGER_MS && busyConnections.get() == 0;
+        boolean mayRequestArrive =
+                elapsedMillis < DRAIN_LINGER_MS || (elapsedMillis < FIRST_REQUEST_WAIT_MS && counts.unused.get() > 0);
+        boolean drained = !mayRequestArrive && counts.busy.get() == 0;
         if (drained || elapsedMillis >= maxMillis) {
             onDrained.run();
             return;
@@ -148,12 +152,12 @@
     private static final class PipelineInitializer extends ChannelInitializer<SocketChannel> {
         private final Supplier<HttpLimits> limits;
         private final ExchangeHandler handler;
-        private final AtomicInteger busyConnections;
+        private final ConnectionCounts counts;
 
-        PipelineInitializer(Supplier<HttpLimits> limits, ExchangeHandler handler, AtomicInteger busyConnections) {
+        PipelineInitializer(Supplier<HttpLimits> limits, ExchangeHandler handler, ConnectionCounts counts) {
             this.limits = limits;
             this.handler = handler;
-            this.busyConnections = busyConnections;
+            this.counts = counts;
         }
 
         @Override
@@ -162,7 +166,7 @@
             HttpDecoderConfig config = new HttpDecoderConfig()
                     .setMaxInitialLineLength(MAX_LINE_BYTES)
                     .setMaxHeaderSize(bounds.maxHeaderBytes());
-            ConnectionTimeouts timeouts = new ConnectionTimeouts(bounds, busyConnections);
+            ConnectionTimeouts timeouts = new ConnectionTimeouts(bounds, counts);
             socket.pipeline()
                     .addLast(timeouts.beforeCodec())
                     .addLast(new HttpServerCodec(config))
