Search paths without trying each hop once for every other engine

Waiting requests search for a path every 10 ms, and the search tried the same hop once for each engine whose range starts at the same layer and computed memory, batch time and slowdown anew each time. Now they are computed once for each engine, and each end of a hop is tried once. The paths found are the same (PathFinderTest.findsThePathsOfAnExhaustiveSearchInRandomFleets, against the former search).

--- a/siskinlead-core/src/main/java/org/siskinlead/core/chains/PathFinder.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/chains/PathFinder.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -92,92 +91,94 @@
 
     /** Path with the lowest cost that runs all layers below some layer and ends in a data centre. */
     private record PartialPath(
-            @Nullable PartialPath previous, @Nullable Hop hop, String dataCentre, double cost, int hops) {}
+            @Nullable PartialPath previous, @Nullable Hop hop, double cost, int hops) {}
+
+    /** A target with what its hops cost, computed once for each search. */
+    private record Candidate(TargetHealth target, int from, int to, int dataCentre, double costPerShare) {}
 
     private @Nullable HopPath search(List<TargetHealth> group, double tokens, MemoryCheck memoryCheck) {
-        List<Map<String, PartialPath>> bestByLayer = new ArrayList<>();
-        for (int layer = 0; layer <= spec.layers(); layer++) {
-            bestByLayer.add(new HashMap<>());
+        Map<String, Integer> dataCentres = new TreeMap<>();
+        List<Candidate> candidates = candidates(group, dataCentres, tokens, memoryCheck);
+        boolean[] starts = new boolean[spec.layers() + 1];
+        for (TargetHealth target : group) {
+            LayerRange held = target.entry().layers();
+            if (held != null && held.from() <= spec.layers()) {
+                starts[held.from()] = true;
+            }
         }
-        bestByLayer.get(0).put("", new PartialPath(null, null, "", 0, 0));
-        for (int layer = 0; layer < spec.layers(); layer++) {
-            for (PartialPath partial : bestByLayer.get(layer).values()) {
-                for (TargetHealth target : group) {
-                    extend(bestByLayer, partial, layer, target, group, tokens, memoryCheck);
+        // By layer, then by the data centre in which the path ends.
+        PartialPath[][] best = new PartialPath[spec.layers() + 1][dataCentres.size()];
+        extend(best, new PartialPath(null, null, 0, 0), 0, -1, candidates, starts);
+        for (int layer = 1; layer < spec.layers(); layer++) {
+            for (int dataCentre = 0; dataCentre < best[layer].length; dataCentre++) {
+                PartialPath partial = best[layer][dataCentre];
+                if (partial != null) {
+                    extend(best, partial, layer, dataCentre, candidates, starts);
                 }
             }
         }
-        PartialPath best = null;
-        for (PartialPath partial : bestByLayer.get(spec.layers()).values()) {
-            if (best == null || partial.cost() < best.cost()) {
-                best = partial;
+        PartialPath cheapest = null;
+        for (PartialPath complete : best[spec.layers()]) {
+            if (complete != null && (cheapest == null || complete.cost() < cheapest.cost())) {
+                cheapest = complete;
             }
         }
-        return best == null ? null : toHopPath(best, tokens, memoryCheck);
+        return cheapest == null ? null : toHopPath(cheapest, tokens, memoryCheck);
     }
 
-    private void extend(
-            List<Map<String, PartialPath>> bestByLayer,
-            PartialPath partial,
-            int layer,
-            TargetHealth target,
-            List<TargetHealth> group,
-            double tokens,
-            MemoryCheck memoryCheck) {
-        LayerRange held = target.entry().layers();
-        if (held == null
-                || held.from() > layer
-                || held.to() <= layer
-                || partial.hops() >= MAX_HOPS
-                || contains(partial, target)) {
-            return;
-        }
-        relax(bestByLayer, partial, target, layer, held.to(), tokens, memoryCheck);
-        // A hop may also end where the range of another target starts within this one.
-        for (TargetHealth other : group) {
-            LayerRange next = other.entry().layers();
-            if (next != null && next.from() > layer && next.from() < held.to()) {
-                relax(bestByLayer, partial, target, layer, next.from(), tokens, memoryCheck);
+    /** Lists the targets that can run the request, and numbers their data centres. */
+    private List<Candidate> candidates(
+            List<TargetHealth> group, Map<String, Integer> dataCentres, double tokens, MemoryCheck memoryCheck) {
+        List<Candidate> candidates = new ArrayList<>();
+        for (TargetHealth target : group) {
+            RegisteredTarget entry = target.entry();
+            LayerRange held = entry.layers();
+            AcceleratorKind kind = spec.kinds().get(entry.accelerator());
+            if (held == null || kind == null) {
+                continue;
+            }
+            double memoryShare = memoryCheck == MemoryCheck.SKIPPED ? 0 : memoryShare(target, kind, tokens);
+            if (memoryShare > MAX_MEMORY_SHARE) {
+                continue;
             }
+            double costPerShare =
+                    spec.stepMillis() * kind.stepTimeFactor() * target.slowdown() * batchTimeFactor(target)
+                            + FULL_MEMORY_COST_MS * memoryShare * memoryShare;
+            Integer known = dataCentres.putIfAbsent(entry.dataCentre(), dataCentres.size());
+            int dataCentre = known == null ? dataCentres.size() - 1 : known;
+            candidates.add(new Candidate(target, held.from(), held.to(), dataCentre, costPerShare));
         }
+        return candidates;
     }
 
-    private void relax(
-            List<Map<String, PartialPath>> bestByLayer,
+    /** Extends a path by each target that holds its next layer; a hop may end where the range of any target starts. */
+    private void extend(
+            PartialPath[][] best,
             PartialPath partial,
-            TargetHealth target,
-            int from,
-            int to,
-            double tokens,
-            MemoryCheck memoryCheck) {
-        RegisteredTarget entry = target.entry();
-        AcceleratorKind kind = spec.kinds().get(entry.accelerator());
-        if (kind == null || to > spec.layers()) {
-            return;
-        }
-        double layerShare = (double) (to - from) / spec.layers();
-        double memoryShare = memoryCheck == MemoryCheck.SKIPPED ? 0 : memoryShare(target, kind, tokens);
-        if (memoryShare > MAX_MEMORY_SHARE) {
+            int layer,
+            int dataCentre,
+            List<Candidate> candidates,
+            boolean[] starts) {
+        if (partial.hops() >= MAX_HOPS) {
             return;
         }
-        double crossingCost =
-                partial.dataCentre().isEmpty() || partial.dataCentre().equals(entry.dataCentre())
-                        ? 0
-                        : CROSS_DATA_CENTRE_COST_MS;
-        double cost = partial.cost()
-                + HOP_COST_MS
-                + crossingCost
-                + layerShare
-                        * (spec.stepMillis() * kind.stepTimeFactor() * target.slowdown() * batchTimeFactor(target)
-                                + FULL_MEMORY_COST_MS * memoryShare * memoryShare);
-        PartialPath known = bestByLayer.get(to).get(entry.dataCentre());
-        if (known == null || cost < known.cost()) {
-            Hop hop = new Hop(target, new LayerRange(from, to));
-            bestByLayer
-                    .get(to)
-                    .put(
-                            entry.dataCentre(),
-                            new PartialPath(partial, hop, entry.dataCentre(), cost, partial.hops() + 1));
+        for (Candidate candidate : candidates) {
+            if (candidate.from() > layer || candidate.to() <= layer || contains(partial, candidate.target())) {
+                continue;
+            }
+            boolean crosses = dataCentre >= 0 && dataCentre != candidate.dataCentre();
+            double fixedCost = partial.cost() + HOP_COST_MS + (crosses ? CROSS_DATA_CENTRE_COST_MS : 0);
+            for (int end = layer + 1; end <= Math.min(candidate.to(), spec.layers()); end++) {
+                if (end != candidate.to() && !starts[end]) {
+                    continue;
+                }
+                double cost = fixedCost + (double) (end - layer) / spec.layers() * candidate.costPerShare();
+                PartialPath known = best[end][candidate.dataCentre()];
+                if (known == null || cost < known.cost()) {
+                    Hop hop = new Hop(candidate.target(), new LayerRange(layer, end));
+                    best[end][candidate.dataCentre()] = new PartialPath(partial, hop, cost, partial.hops() + 1);
+                }
+            }
         }
     }
 
--- a/siskinlead-core/src/test/java/org/siskinlead/core/chains/PathFinderTest.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/chains/PathFinderTest.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Random;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.siskinlead.core.chains.PathFinder.MemoryCheck;
@@ -45,6 +46,36 @@
                 .isEqualTo(1);
     }
 
+    /** Guards the shortcuts of the search: each skips only hops that cannot be part of a cheaper path. */
+    @Test
+    void findsThePathsOfAnExhaustiveSearchInRandomFleets() {
+        Random random = new Random(20_261_204);
+        for (int run = 0; run < 200; run++) {
+            TargetRegistry fleet =
+                    TargetRegistry.of(timers, Timeline.of("vm", HybridClock.of(timers::wallMillis), event -> {}));
+            int engines = 2 + random.nextInt(40);
+            for (int i = 0; i < engines; i++) {
+                int from = random.nextInt(5) == 0 ? 0 : random.nextInt(79);
+                int to = random.nextInt(5) == 0 ? 80 : from + 1 + random.nextInt(80 - from);
+                String kind = random.nextBoolean() ? "l4" : "a100s";
+                fleet.register(Fleets.engine("e" + i, "dc", kind, new LayerRange(from, to)));
+                fleet.find("e" + i).orElseThrow().reserve(random.nextInt(400_000));
+            }
+            List<TargetHealth> targets = fleet.of(Fleets.SERVICE);
+            for (MemoryCheck check : MemoryCheck.values()) {
+                LoadScale scale = LoadScale.uniform(3);
+                double least = new ExhaustivePathSearch(Fleets.engineSpec(), scale).leastCost(targets, TOKENS, check);
+                Optional<HopPath> found =
+                        PathFinder.of(Fleets.engineSpec(), scale).find(targets, TOKENS, check);
+
+                assertThat(found.isPresent()).isEqualTo(least < Double.POSITIVE_INFINITY);
+                if (check == MemoryCheck.SKIPPED && found.isPresent()) {
+                    assertThat(found.get().cost()).isWithin(1e-9).of(least);
+                }
+            }
+        }
+    }
+
     @Test
     void usesPartsOfOverlappingRanges() {
         add("a1", "a", 0, 30);
