--- a/siskinlead-core/src/test/java/org/siskinlead/core/limits/LimitsTest.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/limits/LimitsTest.java
@@ -4,6 +4,9 @@
 
 import org.junit.jupiter.api.Test;
 import org.siskinlead.core.fakes.TestBed;
+import org.siskinlead.core.fakes.TestHost;
+import org.siskinlead.core.membership.Head;
+import org.siskinlead.core.membership.Ownership;
 
 class LimitsTest {
     private static final int LONG_ANSWER_TOKENS = 2_000;
@@ -106,6 +109,43 @@
         assertThat(bed.checker.violations()).isEmpty();
     }
 
+    /** Guards the holder's own part: the owner's reclaims do not reach it, since they go through the backup. */
+    @Test
+    void admitsNothingUnderALoweredLimitThatTheOwnerCannotTellAHolderOf() {
+        TestBed bed = TestBed.start(10, 4, 20, 10_000);
+        Head head = bed.host(0).node().membership().head();
+        String owner = Ownership.ownerOf(head, TestBed.TEAM).orElseThrow().vm();
+        String backup = Ownership.backupOf(head, TestBed.TEAM).orElseThrow().vm();
+        TestHost busy = hostNamed(bed, owner);
+        TestHost holder = bed.hosts().stream()
+                .filter(h -> !h.vm().equals(owner) && !h.vm().equals(backup))
+                .findFirst()
+                .orElseThrow();
+        for (int i = 0; i < 10; i++) {
+            bed.checker.sendCompletion(busy, "long " + i, LONG_ANSWER_TOKENS, 7_500);
+            bed.checker.sendCompletion(holder, "short " + i, 40, 7_500);
+        }
+        bed.time.runUntil(bed.time.now() + 500);
+        long revision = holder.node().configuration().revision();
+
+        bed.vote(busy, 10, 10_000);
+        while (holder.node().configuration().revision() == revision) {
+            bed.time.runUntil(bed.time.now() + 1);
+        }
+        bed.blockMessages(backup, holder.vm());
+        for (int i = 0; i < 70; i++) {
+            int number = i;
+            bed.time.after(100L * i, () -> bed.checker.sendCompletion(holder, "later " + number, 5, 3_000));
+        }
+        bed.time.runUntil(bed.time.now() + 9_000);
+
+        assertThat(bed.checker.violations()).isEmpty();
+    }
+
+    private static TestHost hostNamed(TestBed bed, String vm) {
+        return bed.hosts().stream().filter(h -> h.vm().equals(vm)).findFirst().orElseThrow();
+    }
+
     @Test
     void usesTheWholeOfALoweredLimitOnceItIsFree() {
         TestBed bed = TestBed.start(9, 4, 20, 10_000);
