Log how many targets a request was sent to, and which of them count as ended

The end of a request named its sends only: neither how many different targets there were nor how many of them were left out of the route's maximum could be told from a log, so the hypotheses of the incident were indistinguishable.

--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/AbstractForwardedCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/AbstractForwardedCall.java
@@ -187,6 +187,10 @@
                 status,
                 "sends",
                 sendHistory.sendCount(),
+                "targets",
+                sendHistory.targetCount(),
+                "endedTargets",
+                sendHistory.endedTargetCount(),
                 "tookMs",
                 context.timers().nowMillis() - admitted.receivedAt()));
         fields.addAll(outcomeDetails());
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/SendHistory.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/SendHistory.java
@@ -33,6 +33,16 @@
         return sendCount;
     }
 
+    /** Counts the targets to which the request was sent, also those that have ended since. */
+    int targetCount() {
+        return triedTargets.size();
+    }
+
+    /** Counts the targets to which the request was sent and that are taken for ended. */
+    long endedTargetCount() {
+        return triedTargets.stream().filter(TargetHealth::hasEnded).count();
+    }
+
     /** Tells whether a target may have started to execute the request. */
     boolean mayHaveRun() {
         return mayHaveRun;
@@ -43,8 +53,7 @@
         if (mayHaveRun && !admitted.route().isIdempotent()) {
             return false;
         }
-        long counted = triedTargets.stream().filter(t -> !t.hasEnded()).count();
-        return counted < admitted.route().maxAttempts()
+        return targetCount() - endedTargetCount() < admitted.route().maxAttempts()
                 && connectFailures < MAX_CONNECT_FAILURES
                 && !context.suspects().isBlocked(admitted.fingerprint());
     }
