Count every target that a request was sent to, unless it is known to have ended

Callers' requests ran on more targets than max_attempts allows: after a target's entry was removed, or it had refused one probe or one later connection, it no longer counted, and the request went to one target more.

Cause: evidence that a target cannot be used was taken for proof that it no longer runs. A target runs on without its entry (it never drains, or lost the store), and a refused connection may be the only one that is refused. Only another instance with its id or at its address proves that it has ended. A failed connection takes back its own send, no longer earlier ones.

The set of targets in MaxAttemptsTest is that of instances, as the test of a target that has started again needs it.

--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/SendHistory.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/SendHistory.java
@@ -1,6 +1,8 @@
 package org.siskinlead.core.forwarding;
 
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Set;
 import org.siskinlead.core.registry.TargetHealth;
 
@@ -12,11 +14,15 @@
     private final ForwardingContext context;
     private final AdmittedRequest admitted;
     private final Set<String> excludedInstances = new HashSet<>();
-    private final Set<TargetHealth> triedTargets = new HashSet<>();
+    /** Targets to which the request was sent, with the number of sends, by instance. */
+    private final Map<String, Tried> triedTargets = new HashMap<>();
+
     private boolean mayHaveRun;
     private int sendCount;
     private int connectFailures;
 
+    private record Tried(TargetHealth target, int sends) {}
+
     SendHistory(ForwardingContext context, AdmittedRequest admitted) {
         this.context = context;
         this.admitted = admitted;
@@ -38,9 +44,9 @@
         return triedTargets.size();
     }
 
-    /** Counts the targets to which the request was sent and that are taken for ended. */
+    /** Counts the targets to which the request was sent and that are known to have ended. */
     long endedTargetCount() {
-        return triedTargets.stream().filter(TargetHealth::hasEnded).count();
+        return triedTargets.values().stream().filter(t -> t.target().hasEnded()).count();
     }
 
     /** Tells whether a target may have started to execute the request. */
@@ -48,7 +54,7 @@
         return mayHaveRun;
     }
 
-    /** Tells whether another send is allowed. Targets that have ended do not count towards the maximum of attempts. */
+    /** Tells whether another send is allowed. Only targets that are known to have ended do not count towards the maximum. */
     boolean allowsRetry() {
         if (mayHaveRun && !admitted.route().isIdempotent()) {
             return false;
@@ -62,13 +68,18 @@
 
     void onSent(TargetHealth target) {
         sendCount++;
-        triedTargets.add(target);
+        triedTargets.merge(
+                target.entry().instanceId(),
+                new Tried(target, 1),
+                (known, added) -> new Tried(known.target(), known.sends() + 1));
     }
 
-    /** Removes a target from the tried ones, since its connection failed before anything was sent. */
+    /** Takes back the last send to a target, since the connection failed before anything was sent. */
     void onConnectFailure(TargetHealth target) {
         connectFailures++;
-        triedTargets.remove(target);
+        triedTargets.computeIfPresent(
+                target.entry().instanceId(),
+                (instanceId, known) -> known.sends() == 1 ? null : new Tried(known.target(), known.sends() - 1));
     }
 
     void onMayHaveRun() {
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/TargetProber.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/TargetProber.java
@@ -268,8 +268,8 @@
                 "forMs",
                 DOWN_PERIOD_MS);
         target.markDown(DOWN_PERIOD_MS);
-        if (health != TargetLink.Health.SILENT) {
-            target.markCrashed();
+        if (health == TargetLink.Health.REPLACED) {
+            target.markEnded();
         }
         timers.after(FIRST_RECHECK_DELAY_MS, () -> recheck(target));
         downListener.accept(new Finding(target, health));
--- a/siskinlead-core/src/main/java/org/siskinlead/core/registry/TargetHealth.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/registry/TargetHealth.java
@@ -27,7 +27,7 @@
     private long downUntil = Long.MIN_VALUE / 2;
     private double slowdown = 1;
     private long slowdownReportedAt = Long.MIN_VALUE / 2;
-    private boolean crashed;
+    private boolean ended;
     private boolean leaving;
     private boolean removed;
 
@@ -80,11 +80,11 @@
     }
 
     /**
-     * Checks whether this instance no longer runs.
-     * @return true if its entry was removed, or nothing listens at its address any more
+     * Checks whether this instance is known to have ended. A removed entry or a refused connection does not prove it.
+     * @return true if another instance has its id or answers at its address
      */
     public boolean hasEnded() {
-        return removed || crashed;
+        return ended;
     }
 
     /**
@@ -157,14 +157,13 @@
         slowdownReportedAt = timers.nowMillis();
     }
 
-    /** Records that nothing listens at the address of the target. */
-    public void markCrashed() {
-        crashed = true;
+    /** Records that another instance has taken the place of this one. */
+    public void markEnded() {
+        ended = true;
     }
 
-    /** Clears the down and crashed state, after a false detection or a recovery. */
+    /** Clears the down state, after a false detection or a recovery. */
     public void clearDown() {
-        crashed = false;
         downUntil = Long.MIN_VALUE / 2;
     }
 
--- a/siskinlead-core/src/main/java/org/siskinlead/core/registry/TargetRegistry.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/registry/TargetRegistry.java
@@ -105,6 +105,9 @@
                 timeline.record(EventKind.TARGET_LEFT, "target", entry.id(), "reason", "leaving");
             }
         } else {
+            if (known != null && entry.startedAtMillis() > known.entry().startedAtMillis()) {
+                known.markEnded();
+            }
             byId.put(entry.id(), new TargetHealth(entry, timers));
             timeline.record(
                     EventKind.TARGET_JOINED,
--- a/siskinlead-core/src/test/java/org/siskinlead/core/forwarding/MaxAttemptsTest.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/forwarding/MaxAttemptsTest.java
@@ -57,7 +57,7 @@
         }
         bed.send("/stream/x");
         bed.link.last().respond(500);
-        assertThat(targetsReached()).containsExactly("east-low");
+        assertThat(targetsReached()).containsExactly("east-low@1");
         bed.link.last().fail(LinkFailure.REFUSED);
         bed.timers.advance(10);
         for (int i = 0; i < 3; i++) {
@@ -105,6 +105,8 @@
     }
 
     private Set<String> targetsReached() {
-        return bed.link.received.stream().map(r -> r.dispatch.target().id()).collect(Collectors.toSet());
+        return bed.link.received.stream()
+                .map(r -> r.dispatch.target().instanceId())
+                .collect(Collectors.toSet());
     }
 }
