Read the parts of a prompt, and log them with each request that is admitted

What requests that crash targets have in common could not be told from a log. The last part is left out: it belongs to one request or session. Keys of the daemons in the store now reach the gateway, which hands them to the roster.

--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/Forwarder.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/Forwarder.java
@@ -366,6 +366,8 @@
                 route.name(),
                 "team",
                 admitted.team(),
+                "parts",
+                String.join(",", request.sharedPromptParts()),
                 "revision",
                 current.version(),
                 "proofAgeMs",
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/IncomingRequest.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/IncomingRequest.java
@@ -16,6 +16,8 @@
  * @param maxAnswerTokens maximum length of the answer in tokens, 0 when not given
  * @param expectedAnswerTokens the caller's estimate of the answer's length in tokens, 0 when not given
  * @param lastEventId id of the last event that the caller has received, 0 for a stream from the start
+ * @param sharedPromptParts ids of the parts of the prompt that other requests may share, in their order; without the last
+ *     part, which belongs to the request or its session
  */
 @SuppressWarnings("ArrayRecordComponent")
 public record IncomingRequest(
@@ -30,7 +32,15 @@
         int promptTokens,
         int maxAnswerTokens,
         int expectedAnswerTokens,
-        long lastEventId) {
+        long lastEventId,
+        List<String> sharedPromptParts) {
+    /**
+     * Copies the list of prompt parts.
+     */
+    public IncomingRequest {
+        sharedPromptParts = List.copyOf(sharedPromptParts);
+    }
+
     /**
      * Extracts the path.
      * @return the URI without its query
--- a/siskinlead-core/src/main/java/org/siskinlead/core/gateway/Gateway.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/gateway/Gateway.java
@@ -227,6 +227,25 @@
         }
     }
 
+    /**
+     * Handles a key of the daemons that the store holds.
+     * @param key the key, below {@link Roster#PREFIX}
+     * @param value its value
+     * @param heldBy number of the lease that holds it, 0 for none
+     * @param discovery how it became known
+     */
+    public void onKeyPresent(String key, byte[] value, long heldBy, Roster.Discovery discovery) {
+        roster.onKeyPresent(key, value, heldBy, discovery);
+    }
+
+    /**
+     * Handles the removal of a key of the daemons.
+     * @param key the key, below {@link Roster#PREFIX}
+     */
+    public void onKeyRemoved(String key) {
+        roster.onKeyRemoved(key);
+    }
+
     /**
      * Records that the store has confirmed everything that was read from it.
      * @param sent when the confirming call was sent
--- a/siskinlead-core/src/test/java/org/siskinlead/core/fakes/ForwardingTestBed.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/fakes/ForwardingTestBed.java
@@ -125,19 +125,13 @@
     }
 
     public IncomingRequest request(String path, String key, long timeBudgetMillis) {
+        return request("r" + nextRequestNumber++, path, key, timeBudgetMillis, new byte[] {1}, List.of());
+    }
+
+    public static IncomingRequest request(
+            String id, String path, String key, long timeBudgetMillis, byte[] body, List<String> parts) {
         return new IncomingRequest(
-                "r" + nextRequestNumber++,
-                "POST",
-                path,
-                "host:80",
-                List.of(),
-                new byte[] {1},
-                key,
-                timeBudgetMillis,
-                700,
-                160,
-                160,
-                0);
+                id, "POST", path, "host:80", List.of(), body, key, timeBudgetMillis, 700, 160, 160, 0, parts);
     }
 
     public RecordedReply send(String path) {
