Failing tests: one prompt part crashes one target after the other

A fleet in virtual time: engines that end when they begin to write on one part, daemons that share a store, requests that share nothing else.

--- a/siskinlead-core/src/test/java/org/siskinlead/core/fakes/FakeLeaseStore.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/fakes/FakeLeaseStore.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import org.siskinlead.core.gateway.Gateway;
 import org.siskinlead.core.platform.LeaseStore;
 import org.siskinlead.core.roster.Roster;
 
@@ -29,11 +30,20 @@
     private final Map<String, Item> items = new TreeMap<>();
     private final Map<Long, Long> expiresAtByLease = new HashMap<>();
     private final Map<Long, Long> ttlMillisByLease = new HashMap<>();
-    private final List<Roster> watchers = new ArrayList<>();
+    private final List<Watcher> watchers = new ArrayList<>();
     private long revision = 1;
     private long lastLease;
     public Mode mode = Mode.WORKING;
     public int writes;
+    /** Time after which watchers hear of a change. */
+    public long watchDelayMillis;
+
+    /** Receives the keys that exist when it is attached, and then every change. */
+    public interface Watcher {
+        void onKeyPresent(String key, byte[] value, long lease, Roster.Discovery discovery);
+
+        void onKeyRemoved(String key);
+    }
 
     public FakeLeaseStore(ManualTimers timers) {
         this.timers = timers;
@@ -41,11 +51,52 @@
     }
 
     public void attach(Roster roster) {
-        watchers.add(roster);
-        items.forEach((key, item) -> roster.onKeyPresent(key, item.value(), item.lease(), Roster.Discovery.LISTED));
+        attach(new Watcher() {
+            @Override
+            public void onKeyPresent(String key, byte[] value, long lease, Roster.Discovery discovery) {
+                roster.onKeyPresent(key, value, lease, discovery);
+            }
+
+            @Override
+            public void onKeyRemoved(String key) {
+                roster.onKeyRemoved(key);
+            }
+        });
         roster.retainKeys(items.keySet());
     }
 
+    public void attach(Gateway gateway) {
+        attach(new Watcher() {
+            @Override
+            public void onKeyPresent(String key, byte[] value, long lease, Roster.Discovery discovery) {
+                gateway.onKeyPresent(key, value, lease, discovery);
+            }
+
+            @Override
+            public void onKeyRemoved(String key) {
+                gateway.onKeyRemoved(key);
+            }
+        });
+        gateway.roster().retainKeys(items.keySet());
+    }
+
+    public void detachAll() {
+        watchers.clear();
+    }
+
+    private void attach(Watcher watcher) {
+        watchers.add(watcher);
+        items.forEach((key, item) -> watcher.onKeyPresent(key, item.value(), item.lease(), Roster.Discovery.LISTED));
+    }
+
+    private void notifyWatchers(Consumer<Watcher> change) {
+        if (watchDelayMillis == 0) {
+            watchers.forEach(change);
+        } else {
+            timers.after(watchDelayMillis, () -> watchers.forEach(change));
+        }
+    }
+
     public List<String> keys() {
         return List.copyOf(items.keySet());
     }
@@ -131,7 +182,7 @@
                 remove(change.key());
             } else {
                 items.put(change.key(), new Item(change.value(), revision, change.lease()));
-                watchers.forEach(
+                notifyWatchers(
                         w -> w.onKeyPresent(change.key(), change.value(), change.lease(), Roster.Discovery.CHANGED));
             }
         }
@@ -140,7 +191,7 @@
 
     private void remove(String key) {
         items.remove(key);
-        watchers.forEach(w -> w.onKeyRemoved(key));
+        notifyWatchers(w -> w.onKeyRemoved(key));
     }
 
     private void removeLease(long lease) {
