Find the part of prompts that crashes targets, and block it for all daemons

Callers saw one target after the other end, and with it all streams through it: requests that share a part of their prompts crash each target that begins to answer them, and each was sent like any other.

Cause: crashes were counted by the fingerprint of a whole request, and no two of these were alike. What a daemon reports now are the suspects of a crash, the requests whose answers had not begun there, with all that may be the cause: the shared parts and the request as a whole. Each daemon adds up the reports of all. A part whose requests are answered on a target that lives is cleared; a crash that one part explains better is no evidence against the others; parts that cannot be told apart are blocked only together. A blocked request is refused at once, as not run; now and then one is tried, one for all daemons.

The same cause elsewhere: a daemon that learned of a crash by another's notice did not report its own requests there, a connection that broke just after a probe was not followed up, and the evidence went with its daemon's lease. A suspect is no longer sent to a second target unless targets have answered each of its parts.

--- /dev/null
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/crash/CrashAttribution.java
@@ -0,0 +1,324 @@
+package org.siskinlead.core.crash;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import org.siskinlead.core.time.Timers;
+
+/**
+ * Finds the traits that crash targets. Each crash accuses the traits of all its suspects; an answer that is written on a
+ * target that lives clears the traits of its request. A crash that one trait explains better is no evidence against the
+ * others. Traits that cannot be told apart are blocked only together, so requests that have one of them can still clear
+ * it.
+ */
+public final class CrashAttribution {
+    /** Crashes after which a trait can be blocked. */
+    private static final int MIN_CRASHES = 2;
+    /** Crashes after which a blocked trait gets no further trial. */
+    private static final int MAX_CRASHES_FOR_TRIAL = 5;
+    /** Time from the last crash to the first trial of a blocked trait; each later one waits three times as long. */
+    private static final long FIRST_TRIAL_DELAY_MS = 20_000;
+
+    private static final int TRIAL_DELAY_FACTOR = 3;
+    /** Time for which a crash is remembered. */
+    public static final long CRASH_TTL_MS = 600_000;
+
+    private static final int MAX_CRASHES = 1_000;
+    private static final int MAX_COUNTED_TRAITS = 20_000;
+    /** Starts and odds assumed before any was seen: a trait that never started is rare, but not impossible. */
+    private static final double PRIOR_STARTS = 50;
+
+    private static final double PRIOR_STARTS_OF_TRAIT = 0.5;
+    private static final double TIE = 1e-9;
+
+    private final Timers timers;
+    private final CrashWeight weight;
+    private final Map<String, Crash> crashes = new LinkedHashMap<>();
+    private final Map<String, String> crashByAttempt = new HashMap<>();
+    private final Map<String, Set<String>> clearedByTrait = new HashMap<>();
+    private final Map<String, Integer> startsByTrait = new LinkedHashMap<>(16, 0.75f, true) {
+        private static final long serialVersionUID = 1;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Integer> eldest) {
+            return size() > MAX_COUNTED_TRAITS;
+        }
+    };
+    private long startCount;
+    /** For each blocked trait, the traits from which it cannot be told apart, itself included. */
+    private Map<String, Set<String>> blocked = Map.of();
+
+    /** Crash of one instance of a target, and what it accuses. */
+    private static final class Crash {
+        private final long at;
+        private final Set<String> attempts = new HashSet<>();
+        private final Set<String> traits = new HashSet<>();
+
+        Crash(long at) {
+            this.at = at;
+        }
+    }
+
+    /**
+     * A request by which a blocked trait may be tried again.
+     * @param trait a trait of the request
+     * @param crashes crashes that accuse it
+     */
+    public record Trial(String trait, int crashes) {}
+
+    private CrashAttribution(Timers timers, CrashWeight weight) {
+        this.timers = timers;
+        this.weight = weight;
+    }
+
+    /**
+     * Creates an attribution without evidence.
+     * @param timers clock
+     * @param weight how much a crash counts
+     * @return the attribution
+     */
+    public static CrashAttribution of(Timers timers, CrashWeight weight) {
+        return new CrashAttribution(timers, weight);
+    }
+
+    // Queries
+
+    /**
+     * Checks whether any trait is blocked.
+     * @return true if {@link #isBlocked} can be true
+     */
+    public boolean hasBlocked() {
+        return !blocked.isEmpty();
+    }
+
+    /**
+     * Checks whether a request is likely to crash the target that runs it.
+     * @param traits traits of the request
+     * @return true if it has a blocked trait and all those from which this one cannot be told apart
+     */
+    public boolean isBlocked(Set<String> traits) {
+        return traits.stream().anyMatch(t -> isBlockedWith(t, traits));
+    }
+
+    private boolean isBlockedWith(String trait, Set<String> traits) {
+        Set<String> alike = blocked.get(trait);
+        return alike != null && traits.containsAll(alike);
+    }
+
+    /**
+     * Lists the blocked traits.
+     * @return traits, in their order
+     */
+    public Set<String> blockedTraits() {
+        return new TreeSet<>(blocked.keySet());
+    }
+
+    /**
+     * Checks whether an answer has been written for requests with each of the traits, so that none of them is likely to
+     * crash a target.
+     * @param traits traits of a request
+     * @return true if each trait has started
+     */
+    public boolean haveStarted(Collection<String> traits) {
+        return startsByTrait.keySet().containsAll(traits);
+    }
+
+    /**
+     * Finds out whether a blocked request may be tried again, to find a trait that was blocked by mistake.
+     * @param traits traits of the request
+     * @return the trial, empty while none is due
+     */
+    public Optional<Trial> dueTrial(Set<String> traits) {
+        for (String trait : new TreeSet<>(traits)) {
+            if (!isBlockedWith(trait, traits)) {
+                continue;
+            }
+            if (blocked.getOrDefault(trait, Set.of()).stream().anyMatch(Suspect::isRequest)
+                    || timers.nowMillis() < trialDueAt(trait)) {
+                return Optional.empty();
+            }
+            return Optional.of(new Trial(trait, crashesAccusing(trait).size()));
+        }
+        return Optional.empty();
+    }
+
+    /**
+     * Gets the time to the next trial of a blocked request.
+     * @param traits traits of the request
+     * @return milliseconds, 0 when a trial is due or the request is not blocked; {@link #CRASH_TTL_MS} at most
+     */
+    public long millisToTrial(Set<String> traits) {
+        return traits.stream()
+                .filter(t -> isBlockedWith(t, traits))
+                .mapToLong(t -> Math.min(CRASH_TTL_MS, Math.max(0, trialDueAt(t) - timers.nowMillis())))
+                .max()
+                .orElse(0);
+    }
+
+    private long trialDueAt(String trait) {
+        Set<String> accusing = crashesAccusing(trait);
+        if (accusing.size() > MAX_CRASHES_FOR_TRIAL) {
+            return Long.MAX_VALUE;
+        }
+        long lastAt = accusing.stream()
+                .map(crashes::get)
+                .mapToLong(c -> c == null ? 0 : c.at)
+                .max()
+                .orElse(0);
+        long delay = FIRST_TRIAL_DELAY_MS;
+        for (int i = MIN_CRASHES; i < accusing.size(); i++) {
+            delay *= TRIAL_DELAY_FACTOR;
+        }
+        return lastAt + delay;
+    }
+
+    // Commands
+
+    /**
+     * Records a crash. Reports of several daemons about the same crash add up.
+     * @param instanceId instance of the target
+     * @param suspects requests that may have caused it
+     */
+    public void onCrash(String instanceId, Collection<Suspect> suspects) {
+        expire();
+        if (suspects.isEmpty()) {
+            return;
+        }
+        Crash crash = crashes.computeIfAbsent(instanceId, id -> new Crash(timers.nowMillis()));
+        for (Suspect suspect : suspects) {
+            // A request that passes through several crashed engines accuses its traits once.
+            String first = crashByAttempt.putIfAbsent(suspect.attempt(), instanceId);
+            if (first == null || first.equals(instanceId)) {
+                crash.attempts.add(suspect.attempt());
+                crash.traits.addAll(suspect.traits());
+            }
+        }
+        evaluate();
+    }
+
+    /**
+     * Records that a target has written a part of an answer and lives.
+     * @param traits traits of the request
+     * @return the crashes of which each accused trait is cleared, by trait; empty if none was under serious suspicion
+     */
+    public Map<String, Set<String>> onStarted(Collection<String> traits) {
+        startCount++;
+        Map<String, Set<String>> cleared = new HashMap<>();
+        for (String trait : traits) {
+            startsByTrait.merge(trait, 1, Integer::sum);
+            if (crashes.isEmpty()) {
+                continue;
+            }
+            Set<String> accusing = crashesAccusing(trait);
+            if (score(trait, accusing) >= weight.threshold() / 2) {
+                cleared.put(trait, accusing);
+            }
+            if (!accusing.isEmpty()) {
+                clearedByTrait.computeIfAbsent(trait, t -> new HashSet<>()).addAll(accusing);
+            }
+        }
+        if (!cleared.isEmpty()) {
+            evaluate();
+        }
+        return cleared;
+    }
+
+    /**
+     * Records that another daemon has cleared a trait of crashes.
+     * @param trait the trait
+     * @param instanceIds instances whose crashes it did not cause
+     */
+    public void onCleared(String trait, Collection<String> instanceIds) {
+        clearedByTrait.computeIfAbsent(trait, t -> new HashSet<>()).addAll(instanceIds);
+        evaluate();
+    }
+
+    // Evaluation
+
+    private void evaluate() {
+        Map<String, Set<String>> accusing = new HashMap<>();
+        crashes.forEach((id, crash) -> crash.traits.forEach(trait -> {
+            if (!isCleared(trait, id)) {
+                accusing.computeIfAbsent(trait, t -> new HashSet<>()).add(id);
+            }
+        }));
+        Map<String, Double> scores = new HashMap<>();
+        accusing.forEach((trait, ids) -> scores.put(trait, score(trait, ids)));
+        Map<String, Set<String>> convicted = new HashMap<>();
+        accusing.forEach((trait, ids) -> {
+            Set<String> unexplained = new HashSet<>(ids);
+            unexplained.removeIf(id -> hasBetterExplanation(id, trait, scores));
+            if (unexplained.size() >= MIN_CRASHES && score(trait, unexplained) >= weight.threshold()) {
+                convicted.put(trait, alike(trait, accusing, scores));
+            }
+        });
+        blocked = convicted;
+    }
+
+    private boolean hasBetterExplanation(String instanceId, String trait, Map<String, Double> scores) {
+        Crash crash = crashes.get(instanceId);
+        double own = scores.getOrDefault(trait, 0.0);
+        return crash != null && crash.traits.stream().anyMatch(t -> scores.getOrDefault(t, 0.0) > own + TIE);
+    }
+
+    private static Set<String> alike(String trait, Map<String, Set<String>> accusing, Map<String, Double> scores) {
+        Set<String> alike = new HashSet<>();
+        accusing.forEach((other, ids) -> {
+            boolean tie = Math.abs(scores.getOrDefault(other, 0.0) - scores.getOrDefault(trait, 0.0)) <= TIE;
+            if (tie && ids.equals(accusing.get(trait))) {
+                alike.add(other);
+            }
+        });
+        return alike;
+    }
+
+    private double score(String trait, Set<String> instanceIds) {
+        double share = (startsByTrait.getOrDefault(trait, 0) + PRIOR_STARTS_OF_TRAIT) / (startCount + PRIOR_STARTS);
+        double sum = 0;
+        for (String id : instanceIds) {
+            Crash crash = crashes.get(id);
+            sum += crash == null ? 0 : weight.of(Math.min(1, share), Math.max(1, crash.attempts.size()));
+        }
+        return sum;
+    }
+
+    private Set<String> crashesAccusing(String trait) {
+        Set<String> accusing = new HashSet<>();
+        crashes.forEach((id, crash) -> {
+            if (crash.traits.contains(trait) && !isCleared(trait, id)) {
+                accusing.add(id);
+            }
+        });
+        return accusing;
+    }
+
+    private boolean isCleared(String trait, String instanceId) {
+        return clearedByTrait.getOrDefault(trait, Set.of()).contains(instanceId);
+    }
+
+    private void expire() {
+        List<String> expired = new ArrayList<>();
+        Iterator<Map.Entry<String, Crash>> oldestFirst = crashes.entrySet().iterator();
+        while (oldestFirst.hasNext()) {
+            Map.Entry<String, Crash> entry = oldestFirst.next();
+            if (crashes.size() <= MAX_CRASHES && timers.nowMillis() - entry.getValue().at < CRASH_TTL_MS) {
+                break;
+            }
+            expired.add(entry.getKey());
+            entry.getValue().attempts.forEach(crashByAttempt::remove);
+            oldestFirst.remove();
+        }
+        if (!expired.isEmpty()) {
+            clearedByTrait.values().forEach(ids -> expired.forEach(ids::remove));
+            clearedByTrait.values().removeIf(Set::isEmpty);
+        }
+    }
+}
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/AbstractForwardedCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/AbstractForwardedCall.java
@@ -2,7 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.jspecify.annotations.Nullable;
+import org.siskinlead.core.crash.Suspect;
 import org.siskinlead.core.forwarding.ForwardingCounters.Count;
 import org.siskinlead.core.serving.Refusal;
 import org.siskinlead.core.serving.RefusalCode;
@@ -32,6 +34,9 @@
     @Nullable
     TargetResponse head;
 
+    /** The current attempt as a suspect of crashes; null once it is proven not to cause one, or without prompt parts. */
+    private @Nullable Suspect suspect;
+
     private boolean done;
 
     AbstractForwardedCall(
@@ -64,6 +69,15 @@
         return current != null && current.usesInstance(instanceId);
     }
 
+    final @Nullable Suspect suspect() {
+        return suspect;
+    }
+
+    @Override
+    public final Optional<Suspect> suspectOn(String instanceId) {
+        return usesInstance(instanceId) ? Optional.ofNullable(suspect) : Optional.empty();
+    }
+
     @Override
     public final AdmittedRequest admitted() {
         return admitted;
@@ -83,6 +97,9 @@
     /** Creates the refusal of a request that a target may have executed but not answered. */
     abstract Refusal failureRefusal(String reason);
 
+    /** Tells whether the caller has received a part of the answer. */
+    abstract boolean hasDelivered();
+
     /** Runs at the deadline of the request. */
     abstract void onDeadline();
 
@@ -96,6 +113,52 @@
         sendOrWait();
     }
 
+    final void onAttemptBegun() {
+        suspect = admitted.request().sharedPromptParts().isEmpty()
+                ? null
+                : context.crashWatch().newSuspect(admitted);
+    }
+
+    /** Records that the target of the current attempt lives on after it began to write. */
+    final void onProven() {
+        if (suspect != null) {
+            suspect = null;
+            context.crashWatch().onStarted(admitted);
+        }
+    }
+
+    @Override
+    public final void endIfBlocked() {
+        if (!done
+                && (attempt == null || suspect != null)
+                && context.crashWatch().isBlocked(admitted)) {
+            endAsSuspect();
+        }
+    }
+
+    @Override
+    public final void endIfUnproven() {
+        if (!done && !hasDelivered() && !context.crashWatch().haveStarted(admitted)) {
+            endAsSuspect();
+        }
+    }
+
+    private void endAsSuspect() {
+        Attempt current = attempt;
+        if (current != null) {
+            current.cancel();
+            attempt = null;
+            sendHistory.onMayHaveRun();
+        }
+        if (sendHistory.sendCount() == 0) {
+            end("blocked", RefusalCode.PROMPT_PART_BLOCKED.status());
+            context.counters().incrementRefusals(RefusalCode.PROMPT_PART_BLOCKED);
+            reply.refuse(context.crashWatch().refusal(admitted));
+        } else {
+            giveUp(CrashWatch.BLOCKED_DETAIL);
+        }
+    }
+
     final void retryOrGiveUp(String reason, RetryBudgetShare.Cost cost) {
         attempt = null;
         if (!sendHistory.allowsRetry()) {
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/AdmittedRequest.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/AdmittedRequest.java
@@ -1,8 +1,12 @@
 package org.siskinlead.core.forwarding;
 
+import java.util.HashSet;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.siskinlead.core.catalog.EngineSpec;
 import org.siskinlead.core.catalog.Route;
 import org.siskinlead.core.catalog.Service;
+import org.siskinlead.core.crash.Suspect;
 import org.siskinlead.core.serving.Fingerprint;
 import org.siskinlead.core.time.Timers;
 
@@ -16,6 +20,7 @@
  * @param receivedAt time at which the request was received
  * @param deadlineAt time at which the response is due: the earlier of the caller's and the route's timeout
  * @param callerTimeoutAt time at which the caller stops waiting
+ * @param role whether the request is blocked, and sent only to find out if it still has to be
  */
 record AdmittedRequest(
         IncomingRequest request,
@@ -25,7 +30,14 @@
         int priority,
         long receivedAt,
         long deadlineAt,
-        long callerTimeoutAt) {
+        long callerTimeoutAt,
+        Role role) {
+    /** Role of a request. */
+    enum Role {
+        ORDINARY,
+        TRIAL
+    }
+
     /** Answer length in tokens, assumed for a service without an engine when the caller gives no estimate. */
     private static final int DEFAULT_ANSWER_TOKENS = 256;
 
@@ -42,6 +54,27 @@
         return request.promptTokens() + (double) answer;
     }
 
+    AdmittedRequest asTrial() {
+        return new AdmittedRequest(
+                request, route, service, team, priority, receivedAt, deadlineAt, callerTimeoutAt, Role.TRIAL);
+    }
+
+    boolean isTrial() {
+        return role == Role.TRIAL;
+    }
+
+    /** Gets the traits that the request shares with others. */
+    Set<String> parts() {
+        return request.sharedPromptParts().stream().map(Suspect::part).collect(Collectors.toSet());
+    }
+
+    /** Gets everything about the request that may be why it crashes targets. */
+    Set<String> traits() {
+        Set<String> traits = new HashSet<>(parts());
+        traits.add(Suspect.request(fingerprint()));
+        return traits;
+    }
+
     /** Computes a hash that stays the same when the caller repeats the request. */
     String fingerprint() {
         return Fingerprint.of(
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/BufferedCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/BufferedCall.java
@@ -79,6 +79,7 @@
         sendHistory.onSent(choice.get().target());
         Attempt next = new Attempt(context, admitted, choice.get(), this);
         attempt = next;
+        onAttemptBegun();
         if (admitted.route().kind() == RouteKind.SAFE) {
             headTimeout = context.timers().after(headTimeoutMillis(choice.get().target()), () -> onHeadTimeout(next));
         }
@@ -190,7 +191,7 @@
             sendHistory.onMayHaveRun();
             target.onFailure();
             if (failure == LinkFailure.BROKEN) {
-                context.prober().onConnectionBroken(target, admitted);
+                context.prober().onConnectionBroken(target, admitted, suspect());
             }
         } else {
             sendHistory.onConnectFailure(target);
@@ -224,6 +225,11 @@
         return RetryBudgetShare.Purpose.RESUME_OR_BUFFERED;
     }
 
+    @Override
+    boolean hasDelivered() {
+        return false;
+    }
+
     @Override
     void retry(String reason) {
         attempt = null;
--- /dev/null
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/CrashWatch.java
@@ -0,0 +1,163 @@
+package org.siskinlead.core.forwarding;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+import org.siskinlead.core.crash.CrashAttribution;
+import org.siskinlead.core.crash.CrashReports;
+import org.siskinlead.core.crash.CrashWeight;
+import org.siskinlead.core.crash.Suspect;
+import org.siskinlead.core.serving.Refusal;
+import org.siskinlead.core.serving.RefusalCode;
+import org.siskinlead.core.time.Timers;
+import org.siskinlead.core.timeline.EventKind;
+import org.siskinlead.core.timeline.Timeline;
+
+/**
+ * Connects the forwarded requests with the evidence about crashes: which of them may have caused one, which have shown
+ * that they do not, and which are blocked.
+ */
+final class CrashWatch {
+    static final String BLOCKED_DETAIL = "targets crashed while they ran requests with a part of this prompt";
+    /** Odds at which a trait is blocked. */
+    private static final double BLOCKING_ODDS = 200;
+    /** Shortest time after which the caller of a blocked request may try again. */
+    private static final long MIN_RETRY_AFTER_MS = 1_000;
+
+    private final Timeline timeline;
+    private final CrashAttribution attribution;
+    private final String attemptPrefix;
+    private @Nullable CrashReports reports;
+    private long attempts;
+    private Set<String> loggedBlocked = Set.of();
+
+    CrashWatch(Timers timers, Timeline timeline, String attemptPrefix) {
+        this.timeline = timeline;
+        this.attribution = CrashAttribution.of(timers, CrashWeight.likelihoodRatio(BLOCKING_ODDS));
+        this.attemptPrefix = attemptPrefix;
+    }
+
+    void setReports(CrashReports exchange) {
+        reports = exchange;
+    }
+
+    // Queries
+
+    /** Tells whether a request must not be sent, because it is likely to crash its target. */
+    boolean isBlocked(AdmittedRequest request) {
+        return attribution.hasBlocked() && !request.isTrial() && attribution.isBlocked(request.traits());
+    }
+
+    /** Tells whether targets have written answers for requests with each shared part of this one's prompt. */
+    boolean haveStarted(AdmittedRequest request) {
+        return attribution.haveStarted(request.parts());
+    }
+
+    /** Creates the refusal of a blocked request, which asks the caller to wait for the next trial. */
+    Refusal refusal(AdmittedRequest request) {
+        return Refusal.notRun(
+                RefusalCode.PROMPT_PART_BLOCKED,
+                BLOCKED_DETAIL,
+                Math.max(MIN_RETRY_AFTER_MS, attribution.millisToTrial(request.traits())));
+    }
+
+    // Commands
+
+    /** Describes a send whose answer has not begun as a suspect of a crash. */
+    Suspect newSuspect(AdmittedRequest request) {
+        return new Suspect(attemptPrefix + attempts++, request.traits());
+    }
+
+    /** Records that a target lives on after it has begun to write the answer to a request. */
+    void onStarted(AdmittedRequest request) {
+        if (request.parts().isEmpty()) {
+            return;
+        }
+        attribution.onStarted(request.parts()).forEach((trait, instanceIds) -> {
+            CrashReports exchange = reports;
+            if (exchange != null) {
+                exchange.reportCleared(trait, instanceIds);
+            }
+        });
+        logBlocked();
+    }
+
+    /** Records a crash and reports it to the other daemons. */
+    void onOwnCrash(String instanceId, Collection<Suspect> suspects) {
+        List<Suspect> withParts =
+                suspects.stream().filter(s -> s.traits().size() > 1).toList();
+        if (withParts.isEmpty()) {
+            return;
+        }
+        timeline.record(
+                EventKind.CRASH_SUSPECT_REPORTED,
+                "target",
+                instanceId,
+                "suspects",
+                withParts.size(),
+                "traits",
+                allTraits(withParts));
+        CrashReports exchange = reports;
+        if (exchange != null) {
+            exchange.reportCrash(instanceId, withParts);
+        }
+        onCrash(instanceId, withParts);
+    }
+
+    /** Records suspects that another daemon has reported. */
+    void onCrash(String instanceId, Collection<Suspect> suspects) {
+        attribution.onCrash(instanceId, suspects);
+        logBlocked();
+    }
+
+    /** Records that another daemon has cleared a trait. */
+    void onCleared(String trait, Collection<String> instanceIds) {
+        attribution.onCleared(trait, instanceIds);
+        logBlocked();
+    }
+
+    /** Asks for permission to send a blocked request after all, once in a while and once for all daemons. */
+    void requestTrial(AdmittedRequest request, Consumer<Boolean> onResult) {
+        CrashReports exchange = reports;
+        attribution
+                .dueTrial(request.traits())
+                .filter(trial -> exchange != null)
+                .ifPresentOrElse(
+                        trial -> {
+                            timeline.record(
+                                    EventKind.PROMPT_PART_TRIED,
+                                    "request",
+                                    request.request().id(),
+                                    "trait",
+                                    trial.trait(),
+                                    "crashes",
+                                    trial.crashes());
+                            if (exchange != null) {
+                                exchange.claim(trial, onResult);
+                            }
+                        },
+                        () -> onResult.accept(false));
+    }
+
+    private static String allTraits(Collection<Suspect> suspects) {
+        Set<String> traits = new TreeSet<>();
+        suspects.forEach(s -> traits.addAll(s.traits()));
+        return String.join(",", traits);
+    }
+
+    private void logBlocked() {
+        Set<String> now = attribution.blockedTraits();
+        if (!now.equals(loggedBlocked)) {
+            timeline.record(
+                    EventKind.PROMPT_PARTS_BLOCKED,
+                    "traits",
+                    String.join(",", now),
+                    "before",
+                    String.join(",", loggedBlocked));
+            loggedBlocked = now;
+        }
+    }
+}
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/ForwardedCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/ForwardedCall.java
@@ -1,5 +1,8 @@
 package org.siskinlead.core.forwarding;
 
+import java.util.Optional;
+import org.siskinlead.core.crash.Suspect;
+
 /** A request that is being forwarded and ends with exactly one outcome. */
 interface ForwardedCall {
     /** Sends the request, or queues it when no target has capacity. */
@@ -13,6 +16,18 @@
     /** Fails the current attempt if it runs on this instance, which was found down. */
     void onTargetDown(String instanceId);
 
+    /**
+     * Gets the request as a suspect of the crash of an instance of a target.
+     * @return empty unless the current attempt runs there and its answer has not begun, or only just
+     */
+    Optional<Suspect> suspectOn(String instanceId);
+
+    /** Ends the request if it is likely to crash its next target. */
+    void endIfBlocked();
+
+    /** Ends the request, which may have crashed a target, if no other has shown that its prompt does not. */
+    void endIfUnproven();
+
     /** Cancels the request because the caller closed its connection. */
     void onCallerDisconnected();
 
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/Forwarder.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/Forwarder.java
@@ -15,6 +15,7 @@
 import org.siskinlead.core.catalog.RouteKind;
 import org.siskinlead.core.catalog.Service;
 import org.siskinlead.core.catalog.Team;
+import org.siskinlead.core.crash.CrashReports;
 import org.siskinlead.core.forwarding.ForwardingCounters.Count;
 import org.siskinlead.core.freshness.Freshness;
 import org.siskinlead.core.registry.TargetRegistry;
@@ -38,11 +39,6 @@
     private static final long RETRY_AFTER_MS = 500;
 
     private static final long STALL_CHECK_INTERVAL_MS = 10;
-    /**
-     * Daemons, on average, that report a silent target. Each daemon detects it by its own streams, so more reports
-     * would only add writes to the store.
-     */
-    private static final int SILENCE_REPORTERS = 4;
     /** Delay of a stall check beyond which this process is taken to have been paused. */
     private static final long PROCESS_PAUSE_MS = 80;
     /** Estimated time per token of a stream: what engines need with 40 concurrent streams, plus 25 %. */
@@ -62,8 +58,9 @@
     private final TargetChooser chooser;
     private final Map<String, RequestQueue> queues = new HashMap<>();
     private final Set<ForwardedCall> running = new LinkedHashSet<>();
+    private final TargetLossHandler targetLosses;
     private final List<Runnable> awaitingProof = new ArrayList<>();
-    private DownNoticePublisher downNoticePublisher = (instanceId, fingerprints) -> {};
+    private int awaitingTrial;
     private @Nullable Catalog catalog;
     private long drainEndsAt = Long.MAX_VALUE;
     private long lastStallCheckAt;
@@ -86,6 +83,7 @@
         this.renewProof = renewProof;
         this.context = context;
         this.chooser = new TargetChooser(context);
+        this.targetLosses = new TargetLossHandler(context, running);
         this.lastStallCheckAt = timers.nowMillis();
     }
 
@@ -121,13 +119,14 @@
                 link,
                 RetryBudgetShare.of(budget, daemonCount, timers),
                 CrashSuspects.of(timers),
+                new CrashWatch(timers, timeline, Long.toHexString(random.nextLong()) + "-"),
                 prober,
                 new ResponseMemory(),
                 counters,
                 random,
                 daemonCount);
         Forwarder forwarder = new Forwarder(timers, timeline, freshness, renewProof, context);
-        prober.setDownListener(forwarder::onTargetDown);
+        prober.setDownListener(forwarder.targetLosses::onTargetDown);
         timers.every(STALL_CHECK_INTERVAL_MS, forwarder::checkForStalls);
         return forwarder;
     }
@@ -142,10 +141,10 @@
 
     /**
      * Counts the requests that have not ended.
-     * @return number of requests running, queued or waiting for a proof
+     * @return number of requests running, queued, or waiting for a proof or a trial
      */
     public int inFlight() {
-        return running.size() + awaitingProof.size();
+        return running.size() + awaitingProof.size() + awaitingTrial;
     }
 
     /**
@@ -171,7 +170,15 @@
      * @param publisher the publisher
      */
     public void setDownNoticePublisher(DownNoticePublisher publisher) {
-        downNoticePublisher = publisher;
+        targetLosses.setPublisher(publisher);
+    }
+
+    /**
+     * Sets the exchange of evidence about crashes with the other daemons.
+     * @param reports the exchange
+     */
+    public void setCrashReports(CrashReports reports) {
+        targetLosses.setCrashReports(reports);
     }
 
     /**
@@ -217,9 +224,7 @@
      * @param fingerprints fingerprints of the requests
      */
     public void onCrash(String instanceId, List<String> fingerprints) {
-        if (!fingerprints.isEmpty()) {
-            context.suspects().onCrash(instanceId, fingerprints);
-        }
+        targetLosses.onCrash(instanceId, fingerprints);
     }
 
     /**
@@ -228,16 +233,7 @@
      * @param fingerprints fingerprints of the requests that the other daemon was running on it
      */
     public void onDownNotice(String instanceId, List<String> fingerprints) {
-        String id = instanceId.substring(0, Math.max(0, instanceId.lastIndexOf('@')));
-        onCrash(instanceId, fingerprints);
-        context.registry()
-                .find(id)
-                .filter(t -> t.entry().instanceId().equals(instanceId) && !t.isDown())
-                .ifPresent(t -> {
-                    t.markDown(TargetProber.DOWN_PERIOD_MS);
-                    failAttemptsOn(instanceId);
-                    context.registry().notifyListeners();
-                });
+        targetLosses.onDownNotice(instanceId, fingerprints);
     }
 
     /**
@@ -352,24 +348,52 @@
                 priority(route, team),
                 receivedAt,
                 receivedAt + Math.min(timeBudgetMillis, route.timeoutMillis()),
-                receivedAt + timeBudgetMillis);
+                receivedAt + timeBudgetMillis,
+                AdmittedRequest.Role.ORDINARY);
         if (!context.suspects().isEmpty() && context.suspects().isBlocked(admitted.fingerprint())) {
             refuse(request, reply, RefusalCode.TARGET_CRASHES, "targets crashed while running this request");
             return;
         }
-        context.retryBudget().onRequest(service.get().name());
+        if (context.crashWatch().isBlocked(admitted)) {
+            tryOrRefuse(admitted, reply, handle);
+            return;
+        }
+        accept(admitted, reply, handle);
+    }
+
+    /** Refuses a blocked request, unless this daemon may send it as a trial. */
+    private void tryOrRefuse(AdmittedRequest admitted, Reply reply, Handle handle) {
+        awaitingTrial++;
+        context.crashWatch().requestTrial(admitted, granted -> {
+            awaitingTrial--;
+            if (handle.callerDisconnected) {
+                return;
+            }
+            if (granted) {
+                accept(admitted.asTrial(), reply, handle);
+                return;
+            }
+            Refusal refusal = context.crashWatch().refusal(admitted);
+            recordRefusal(admitted.request(), refusal.code(), refusal.detail());
+            reply.refuse(refusal);
+        });
+    }
+
+    private void accept(AdmittedRequest admitted, Reply reply, Handle handle) {
+        IncomingRequest request = admitted.request();
+        context.retryBudget().onRequest(admitted.service().name());
         timeline.record(
                 EventKind.REQUEST_ADMITTED,
                 "request",
                 request.id(),
                 "route",
-                route.name(),
+                admitted.route().name(),
                 "team",
                 admitted.team(),
                 "parts",
                 String.join(",", request.sharedPromptParts()),
                 "revision",
-                current.version(),
+                catalog == null ? 0 : catalog.version(),
                 "proofAgeMs",
                 freshness.ageMillis(),
                 "priority",
@@ -404,6 +428,11 @@
     }
 
     private void refuse(IncomingRequest request, Reply reply, RefusalCode code, String detail) {
+        recordRefusal(request, code, detail);
+        reply.refuse(Refusal.notRun(code, detail, code.status() == SERVICE_UNAVAILABLE ? RETRY_AFTER_MS : 0));
+    }
+
+    private void recordRefusal(IncomingRequest request, RefusalCode code, String detail) {
         context.counters().incrementRefusals(code);
         timeline.record(
                 EventKind.REQUEST_REFUSED,
@@ -419,33 +448,6 @@
                 catalog == null ? 0 : catalog.version(),
                 "proofAgeMs",
                 freshness.ageMillis());
-        reply.refuse(Refusal.notRun(code, detail, code.status() == SERVICE_UNAVAILABLE ? RETRY_AFTER_MS : 0));
-    }
-
-    private void onTargetDown(TargetProber.Finding finding) {
-        String instanceId = finding.target().entry().instanceId();
-        List<String> fingerprints = new ArrayList<>();
-        if (finding.health() != TargetLink.Health.SILENT) {
-            for (ForwardedCall call : running) {
-                if (call.usesInstance(instanceId)) {
-                    fingerprints.add(call.admitted().fingerprint());
-                }
-            }
-            context.prober().requestsBrokenOn(instanceId).forEach(call -> fingerprints.add(call.fingerprint()));
-            context.suspects().onCrash(instanceId, fingerprints);
-        }
-        boolean isReporter =
-                context.random().nextInt(Math.max(1, context.daemonCount().getAsInt())) < SILENCE_REPORTERS;
-        if (!fingerprints.isEmpty() || isReporter) {
-            downNoticePublisher.publish(instanceId, fingerprints);
-        }
-        failAttemptsOn(instanceId);
-    }
-
-    private void failAttemptsOn(String instanceId) {
-        for (ForwardedCall call : List.copyOf(running)) {
-            call.onTargetDown(instanceId);
-        }
     }
 
     private void checkForStalls() {
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/ForwardingContext.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/ForwardingContext.java
@@ -15,6 +15,7 @@
         TargetLink link,
         RetryBudgetShare retryBudget,
         CrashSuspects suspects,
+        CrashWatch crashWatch,
         TargetProber prober,
         ResponseMemory responseMemory,
         ForwardingCounters counters,
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/SendHistory.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/SendHistory.java
@@ -56,12 +56,13 @@
 
     /** Tells whether another send is allowed. Only targets that are known to have ended do not count towards the maximum. */
     boolean allowsRetry() {
-        if (mayHaveRun && !admitted.route().isIdempotent()) {
+        if ((mayHaveRun && !admitted.route().isIdempotent()) || (admitted.isTrial() && sendCount > 0)) {
             return false;
         }
         return targetCount() - endedTargetCount() < admitted.route().maxAttempts()
                 && connectFailures < MAX_CONNECT_FAILURES
-                && !context.suspects().isBlocked(admitted.fingerprint());
+                && !context.suspects().isBlocked(admitted.fingerprint())
+                && !context.crashWatch().isBlocked(admitted);
     }
 
     // Commands
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamTiming.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamTiming.java
@@ -28,6 +28,7 @@
     private final Timers timers;
     private final long receivedAt;
     private boolean awaitingFirstEvent;
+    private long writingSince = -1;
     private long lastProgressAt;
     private double averageGapMillis = INITIAL_GAP_MS;
     private long lastDeliveryAt;
@@ -79,6 +80,11 @@
                 && pause > Math.max(STUCK_GAP_OBJECTIVES * gapObjectiveMillis, STUCK_GAP_FACTOR * averageGapMillis);
     }
 
+    /** Tells whether events of the current attempt have arrived for longer than a time. */
+    boolean hasWrittenFor(long millis) {
+        return writingSince >= 0 && timers.nowMillis() - writingSince >= millis;
+    }
+
     /** Gets the time from receipt of the request to the first event; -1 before that event. */
     long firstEventMillis() {
         return firstEventMillis;
@@ -93,6 +99,7 @@
 
     void onSent() {
         awaitingFirstEvent = true;
+        writingSince = -1;
         lastProgressAt = timers.nowMillis();
     }
 
@@ -109,6 +116,7 @@
             longestPauseMillis = Math.max(longestPauseMillis, now - lastDeliveryAt);
         }
         lastDeliveryAt = now;
+        writingSince = writingSince < 0 ? now : writingSince;
         long sinceSendMillis = awaitingFirstEvent ? now - lastProgressAt : -1;
         if (!awaitingFirstEvent && events > 0) {
             averageGapMillis += MOVING_AVERAGE_WEIGHT * ((now - lastProgressAt) / (double) events - averageGapMillis);
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamingCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamingCall.java
@@ -33,6 +33,9 @@
     /** Time for which a target that another target reported as faulty is avoided. */
     private static final long AVOID_REPORTED_MS = 700;
 
+    /** Time for which a target has to write an answer until the request is no longer suspected of crashing it. */
+    private static final long PROVEN_AFTER_MS = 250;
+
     /** Largest body of a failure that is passed on; longer ones are not answers. */
     private static final int MAX_FAILURE_BYTES = 65_536;
 
@@ -117,6 +120,7 @@
         sendHistory.onSent(choice.get().target());
         Attempt next = new Attempt(context, admitted, choice.get(), this);
         attempt = next;
+        onAttemptBegun();
         timing.onSent();
         next.start(sendHistory.sendCount(), lastEventId, priority());
         return true;
@@ -246,6 +250,9 @@
             from.target().onAnswer((double) sinceSendMillis);
         }
         sendHistory.onMayHaveRun();
+        if (timing.hasWrittenFor(PROVEN_AFTER_MS)) {
+            onProven();
+        }
     }
 
     @Override
@@ -260,6 +267,7 @@
             handleFailure(from, LinkFailure.BROKEN);
         } else {
             startIfNeeded();
+            onProven();
             context.counters().increment(Count.STREAMS_COMPLETE);
             context.counters().recordLatency(Latency.FIRST_EVENT, timing.firstEventMillis());
             context.counters().recordLatency(Latency.LONGEST_PAUSE, timing.longestPauseMillis());
@@ -282,7 +290,7 @@
             from.target().onFailure();
             sendHistory.exclude(from.target().entry().instanceId());
             if (failure == LinkFailure.BROKEN) {
-                context.prober().onConnectionBroken(from.target(), admitted);
+                context.prober().onConnectionBroken(from.target(), admitted, suspect());
             }
         } else {
             sendHistory.onConnectFailure(from.target());
@@ -317,6 +325,11 @@
         retryOrGiveUp(lastFailure, RetryBudgetShare.Cost.BUDGETED);
     }
 
+    @Override
+    boolean hasDelivered() {
+        return lastEventId > 0;
+    }
+
     @Override
     void retry(String reason) {
         context.counters().increment(started ? Count.STREAMS_RESUMED : Count.RETRIED);
--- /dev/null
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/TargetLossHandler.java
@@ -0,0 +1,130 @@
+package org.siskinlead.core.forwarding;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.siskinlead.core.crash.CrashReports;
+import org.siskinlead.core.crash.Suspect;
+
+/**
+ * Reacts to targets that are lost: informs the other daemons, collects the requests that may have caused a crash, and
+ * fails the attempts that ran there.
+ */
+final class TargetLossHandler {
+    /**
+     * Daemons, on average, that report a silent target. Each daemon detects it by its own streams, so more reports
+     * would only add writes to the store.
+     */
+    private static final int SILENCE_REPORTERS = 4;
+
+    private final ForwardingContext context;
+    private final Set<ForwardedCall> running;
+    private Forwarder.DownNoticePublisher publisher = (instanceId, fingerprints) -> {};
+
+    TargetLossHandler(ForwardingContext context, Set<ForwardedCall> running) {
+        this.context = context;
+        this.running = running;
+    }
+
+    void setPublisher(Forwarder.DownNoticePublisher downNoticePublisher) {
+        publisher = downNoticePublisher;
+    }
+
+    void setCrashReports(CrashReports reports) {
+        context.crashWatch().setReports(reports);
+        reports.setListener(new CrashReports.Listener() {
+            @Override
+            public void onCrash(String instanceId, List<Suspect> suspects) {
+                context.crashWatch().onOwnCrash(instanceId, suspectsOn(instanceId));
+                context.crashWatch().onCrash(instanceId, suspects);
+                endBlocked();
+            }
+
+            @Override
+            public void onCleared(String trait, List<String> instanceIds) {
+                context.crashWatch().onCleared(trait, instanceIds);
+                endBlocked();
+            }
+        });
+    }
+
+    /** Records the requests that were running on a target when it crashed, by their fingerprints. */
+    void onCrash(String instanceId, List<String> fingerprints) {
+        if (!fingerprints.isEmpty()) {
+            context.suspects().onCrash(instanceId, fingerprints);
+        }
+    }
+
+    /** Handles a down notice of another daemon. */
+    void onDownNotice(String instanceId, List<String> fingerprints) {
+        String id = instanceId.substring(0, Math.max(0, instanceId.lastIndexOf('@')));
+        onCrash(instanceId, fingerprints);
+        if (!fingerprints.isEmpty()
+                || !context.prober().requestsBrokenOn(instanceId).isEmpty()) {
+            reportSuspects(instanceId);
+        }
+        context.registry()
+                .find(id)
+                .filter(t -> t.entry().instanceId().equals(instanceId) && !t.isDown())
+                .ifPresent(t -> {
+                    t.markDown(TargetProber.DOWN_PERIOD_MS);
+                    failAttemptsOn(instanceId);
+                    context.registry().notifyListeners();
+                });
+    }
+
+    /** Handles a target that this daemon has found down. */
+    void onTargetDown(TargetProber.Finding finding) {
+        String instanceId = finding.target().entry().instanceId();
+        List<String> fingerprints = new ArrayList<>();
+        if (finding.health() != TargetLink.Health.SILENT) {
+            for (ForwardedCall call : running) {
+                if (call.usesInstance(instanceId)) {
+                    fingerprints.add(call.admitted().fingerprint());
+                }
+            }
+            context.prober().requestsBrokenOn(instanceId).forEach(call -> fingerprints.add(call.fingerprint()));
+            context.suspects().onCrash(instanceId, fingerprints);
+            reportSuspects(instanceId);
+        }
+        boolean isReporter =
+                context.random().nextInt(Math.max(1, context.daemonCount().getAsInt())) < SILENCE_REPORTERS;
+        if (!fingerprints.isEmpty() || isReporter) {
+            publisher.publish(instanceId, fingerprints);
+        }
+        failAttemptsOn(instanceId);
+    }
+
+    /** Reports this daemon's suspects of a crash, and ends those whose next target may crash as well. */
+    private void reportSuspects(String instanceId) {
+        List<Suspect> suspects = suspectsOn(instanceId);
+        List<ForwardedCall> unproven = new ArrayList<>();
+        for (ForwardedCall call : running) {
+            if (call.suspectOn(instanceId).isPresent()) {
+                unproven.add(call);
+            }
+        }
+        for (AdmittedRequest broken : context.prober().requestsBrokenOn(instanceId)) {
+            running.stream().filter(call -> call.admitted().equals(broken)).forEach(unproven::add);
+        }
+        context.crashWatch().onOwnCrash(instanceId, suspects);
+        unproven.forEach(ForwardedCall::endIfUnproven);
+        endBlocked();
+    }
+
+    private List<Suspect> suspectsOn(String instanceId) {
+        List<Suspect> suspects = new ArrayList<>(context.prober().suspectsBrokenOn(instanceId));
+        running.forEach(call -> call.suspectOn(instanceId).ifPresent(suspects::add));
+        return suspects;
+    }
+
+    private void endBlocked() {
+        List.copyOf(running).forEach(ForwardedCall::endIfBlocked);
+    }
+
+    private void failAttemptsOn(String instanceId) {
+        for (ForwardedCall call : List.copyOf(running)) {
+            call.onTargetDown(instanceId);
+        }
+    }
+}
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/TargetProber.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/TargetProber.java
@@ -8,9 +8,12 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
+import org.jspecify.annotations.Nullable;
+import org.siskinlead.core.crash.Suspect;
 import org.siskinlead.core.registry.EngineState;
 import org.siskinlead.core.registry.TargetHealth;
 import org.siskinlead.core.registry.TargetRegistry;
@@ -68,7 +71,11 @@
     private long secondStartedAt;
     private int probesInSecond;
 
-    private record BrokenConnection(String instanceId, AdmittedRequest request, long at) {}
+    private record BrokenConnection(
+            String instanceId,
+            AdmittedRequest request,
+            @Nullable Suspect suspect,
+            long at) {}
 
     /**
      * A target found down.
@@ -146,14 +153,34 @@
         }
     }
 
-    /** Records a connection lost during a request, and probes whether the target crashed. */
-    void onConnectionBroken(TargetHealth target, AdmittedRequest request) {
-        brokenConnections.addLast(new BrokenConnection(target.entry().instanceId(), request, timers.nowMillis()));
+    /**
+     * Records a connection lost during a request, and probes whether the target crashed.
+     * @param suspect the request as a suspect of the crash, null when it cannot have caused one
+     */
+    void onConnectionBroken(TargetHealth target, AdmittedRequest request, @Nullable Suspect suspect) {
+        String instanceId = target.entry().instanceId();
+        brokenConnections.addLast(new BrokenConnection(instanceId, request, suspect, timers.nowMillis()));
         while (brokenConnections.size() > MAX_BROKEN_CONNECTIONS
                 || timers.nowMillis() - brokenConnections.peekFirst().at() > BROKEN_RETENTION_MS) {
             brokenConnections.removeFirst();
         }
+        long sinceProbe = timers.nowMillis() - lastProbedAt.getOrDefault(instanceId, Long.MIN_VALUE / 2);
         check(target, request.request().id());
+        if (sinceProbe < MIN_PROBE_INTERVAL_MS) {
+            // The last probe may have been answered just before the crash.
+            timers.after(
+                    MIN_PROBE_INTERVAL_MS - sinceProbe,
+                    () -> check(target, request.request().id()));
+        }
+    }
+
+    /** Lists the suspects among the requests that recently lost their connection to this instance of a target. */
+    List<Suspect> suspectsBrokenOn(String instanceId) {
+        return brokenConnections.stream()
+                .filter(b -> b.instanceId().equals(instanceId))
+                .map(BrokenConnection::suspect)
+                .filter(Objects::nonNull)
+                .toList();
     }
 
     /** Lists the requests that recently lost their connection to this instance of a target. */
--- a/siskinlead-core/src/main/java/org/siskinlead/core/gateway/Gateway.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/gateway/Gateway.java
@@ -5,6 +5,7 @@
 import java.util.random.RandomGenerator;
 import java.util.stream.IntStream;
 import org.siskinlead.core.catalog.Catalog;
+import org.siskinlead.core.crash.CrashReports;
 import org.siskinlead.core.forwarding.Forwarder;
 import org.siskinlead.core.forwarding.RetryBudgetShare;
 import org.siskinlead.core.forwarding.TargetLink;
@@ -43,6 +44,7 @@
     private final TargetRegistry registry;
     private final Roster roster;
     private final Forwarder forwarder;
+    private final CrashReports crashReports;
     private Consumer<Catalog> catalogListener = catalog -> {};
     private boolean listening;
     private boolean draining;
@@ -89,6 +91,8 @@
                 settings.retries(),
                 roster::size,
                 ports.random());
+        this.crashReports = CrashReports.of(self.vm(), ports.store(), timers, ports.random(), roster::size);
+        forwarder.setCrashReports(crashReports);
         forwarder.setDownNoticePublisher(roster::publishDown);
         roster.setDownListener((instanceId, fingerprints, discovery) -> {
             if (discovery == Roster.Discovery.CHANGED) {
@@ -235,7 +239,11 @@
      * @param discovery how it became known
      */
     public void onKeyPresent(String key, byte[] value, long heldBy, Roster.Discovery discovery) {
-        roster.onKeyPresent(key, value, heldBy, discovery);
+        if (key.startsWith(CrashReports.PREFIX)) {
+            crashReports.onKeyPresent(key, value);
+        } else {
+            roster.onKeyPresent(key, value, heldBy, discovery);
+        }
     }
 
     /**
@@ -243,7 +251,11 @@
      * @param key the key, below {@link Roster#PREFIX}
      */
     public void onKeyRemoved(String key) {
-        roster.onKeyRemoved(key);
+        if (key.startsWith(CrashReports.PREFIX)) {
+            crashReports.onKeyRemoved(key);
+        } else {
+            roster.onKeyRemoved(key);
+        }
     }
 
     /**
--- a/siskinlead-core/src/main/java/org/siskinlead/core/serving/RefusalCode.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/serving/RefusalCode.java
@@ -29,6 +29,8 @@
     TARGETS_FAILED(502),
     /** Targets crashed while they ran this request, so it is not sent to others until the suspicion expires. */
     TARGET_CRASHES(502),
+    /** Requests with a part of this one's prompt crash their targets, so nothing was sent. */
+    PROMPT_PART_BLOCKED(503),
     /** This daemon lost its quorum lease while the request ran. */
     STANDING_LOST(503),
     OUTCOME_UNKNOWN(502),
--- a/siskinlead-core/src/main/java/org/siskinlead/core/timeline/EventKind.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/timeline/EventKind.java
@@ -33,6 +33,10 @@
     /** The result of a claimed call was recorded. */
     KEY_RESOLVED,
     CRASH_SUSPECT_REPORTED,
+    /** The traits of requests changed that are not sent because they crash targets. */
+    PROMPT_PARTS_BLOCKED,
+    /** A blocked request is to be sent once, to find a part that is blocked by mistake. */
+    PROMPT_PART_TRIED,
     /** A placement order was sent to an engine. */
     ORDER_GIVEN,
     /** An engine refused a placement order, or its answer was lost. */
--- a/siskinlead-core/src/test/java/org/siskinlead/core/fakes/FakeLeaseStore.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/fakes/FakeLeaseStore.java
@@ -84,7 +84,7 @@
         watchers.clear();
     }
 
-    private void attach(Watcher watcher) {
+    public void attach(Watcher watcher) {
         watchers.add(watcher);
         items.forEach((key, item) -> watcher.onKeyPresent(key, item.value(), item.lease(), Roster.Discovery.LISTED));
     }
