--- a/siskinlead-core/src/test/java/org/siskinlead/core/fakes/CrashingPartFleet.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/fakes/CrashingPartFleet.java
@@ -25,7 +25,7 @@
  * share their other part with sound ones.
  */
 public final class CrashingPartFleet {
-    public static final String CRASHING_PART = "bad";
+    private static final String CRASHING_PART = "bad";
     /** First part of all requests that have the crashing part. */
     public static final String SHARED_PART = "p1";
 
@@ -50,6 +50,8 @@
     private final List<Run> runs = new ArrayList<>();
     private final Random random;
     private int nextRequest;
+    /** Shared parts of the requests that crash engines, drawn at random; a part that begins with "bad" does. */
+    public List<List<String>> crashingPrompts = List.of(List.of(SHARED_PART, CRASHING_PART));
     /** Requests per second, of all daemons together, with and without the crashing part. */
     public double soundRate = 40;
 
@@ -156,7 +158,7 @@
                 sendSound();
             }
             if (random.nextDouble() < partRate * STEP_MS / 1_000) {
-                send(List.of(SHARED_PART, CRASHING_PART), new RecordedReply());
+                send(crashingPrompts.get(random.nextInt(crashingPrompts.size())), new RecordedReply());
             }
             if (timers.nowMillis() % PROOF_INTERVAL_MS < STEP_MS) {
                 daemons.forEach(d -> d.gateway.onProof(Freshness.ClockReading.now(timers)));
@@ -198,7 +200,8 @@
                 request.fail(LinkFailure.REFUSED);
                 continue;
             }
-            boolean crashes = request.dispatch.request().sharedPromptParts().contains(CRASHING_PART);
+            boolean crashes =
+                    request.dispatch.request().sharedPromptParts().stream().anyMatch(p -> p.startsWith(CRASHING_PART));
             if (crashes) {
                 partArrivals.add(timers.nowMillis());
             }
--- a/siskinlead-core/src/test/java/org/siskinlead/core/fakes/ForwardingTestBed.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/fakes/ForwardingTestBed.java
@@ -1,5 +1,6 @@
 package org.siskinlead.core.fakes;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
@@ -134,6 +135,12 @@
                 id, "POST", path, "host:80", List.of(), body, key, timeBudgetMillis, 700, 160, 160, 0, parts);
     }
 
+    /** Creates a request whose prompt begins with a part that others may share. */
+    public IncomingRequest requestWithPart(String path, String part) {
+        String id = "r" + nextRequestNumber++;
+        return request(id, path, KEY, 20_000, id.getBytes(StandardCharsets.UTF_8), List.of(part));
+    }
+
     public RecordedReply send(String path) {
         RecordedReply reply = new RecordedReply();
         forwarder.onRequest(request(path), reply);
--- a/siskinlead-core/src/test/java/org/siskinlead/core/forwarding/RandomForwardingTest.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/forwarding/RandomForwardingTest.java
@@ -28,6 +28,7 @@
 class RandomForwardingTest {
     private static final long SEED = Long.getLong("seed", 0);
     private static final int REQUESTS = 60;
+    private static final int SHARED_PARTS = 3;
     private static final int LOAD_MS = 10_000;
     /** Longest route timeout, plus time for the cancellations at its end. */
     private static final int SETTLE_MS = 22_000;
@@ -147,7 +148,10 @@
         private void sendRequest() {
             String path =
                     List.of("/stream/x", "/stream/y", "/safe/x", "/unsafe/x").get(random.nextInt(4));
-            SentRequest next = new SentRequest(bed.request(path), path);
+            IncomingRequest request = path.startsWith("/stream") && random.nextBoolean()
+                    ? bed.requestWithPart(path, "part" + random.nextInt(SHARED_PARTS))
+                    : bed.request(path);
+            SentRequest next = new SentRequest(request, path);
             next.keyRevoked = revoked;
             next.proofSeen = bed.freshness.isFresh();
             sentRequests.add(next);
