Send nothing to a target that says in an answer that it is about to stop

Callers' requests reached targets that had announced their end in their answers (Server-Leaving: 1) but not, or not yet, in their entries. The field was not read. It holds for the instance, also when its entry is removed and written again; streams that run there go on; the answer of another target than the expected one (421) says nothing about the expected one.

--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/AbstractForwardedCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/AbstractForwardedCall.java
@@ -113,6 +113,17 @@
         sendOrWait();
     }
 
+    /** Records what an answer says of its target itself. */
+    final void recordSignals(Attempt from, TargetResponse response) {
+        if (response.load() >= 0) {
+            from.target().onLoad(response.load());
+        }
+        // Another target than the expected one speaks only for itself.
+        if (response.leaving() && response.matchesRequest() && response.status() != MISDIRECTED_REQUEST) {
+            context.registry().onLeaving(from.target());
+        }
+    }
+
     final void onAttemptBegun() {
         suspect = admitted.request().sharedPromptParts().isEmpty()
                 ? null
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/BufferedCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/BufferedCall.java
@@ -104,9 +104,7 @@
 
     @Override
     public void onHead(Attempt from, TargetResponse response) {
-        if (response.load() >= 0) {
-            from.target().onLoad(response.load());
-        }
+        recordSignals(from, response);
         head = response;
         if (!response.isAuthentic()) {
             from.cancel();
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamingCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamingCall.java
@@ -143,9 +143,7 @@
 
     @Override
     public void onHead(Attempt from, TargetResponse response) {
-        if (response.load() >= 0) {
-            from.target().onLoad(response.load());
-        }
+        recordSignals(from, response);
         if (!response.isAuthentic()) {
             from.cancel();
             handleFailure(from, LinkFailure.MALFORMED);
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/TargetResponse.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/TargetResponse.java
@@ -10,6 +10,7 @@
  * @param matchesRequest whether the response carries the id of the request that was sent
  * @param faultAddress address of another target that this one reports as faulty, empty for none
  * @param load running and waiting requests of the target, negative when not given
+ * @param leaving whether the target says that it is about to stop
  * @param headers header fields to forward to the caller
  */
 public record TargetResponse(
@@ -19,6 +20,7 @@
         boolean matchesRequest,
         String faultAddress,
         double load,
+        boolean leaving,
         List<HeaderField> headers) {
     private static final int OK = 200;
     private static final int MULTIPLE_CHOICES = 300;
--- a/siskinlead-core/src/main/java/org/siskinlead/core/registry/TargetHealth.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/registry/TargetHealth.java
@@ -173,6 +173,13 @@
         removed = false;
     }
 
+    /** Excludes this instance from new requests for good; returns false if it was excluded before. */
+    boolean markLeaving() {
+        boolean changed = !leaving;
+        leaving = true;
+        return changed;
+    }
+
     void markRemoved() {
         removed = true;
     }
--- a/siskinlead-core/src/main/java/org/siskinlead/core/registry/TargetRegistry.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/registry/TargetRegistry.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -21,10 +23,22 @@
     /** Time after a store outage for running targets to renew lapsed entries; the platform specifies 2 s. */
     public static final long LAPSE_GRACE_MS = 2_300;
 
+    private static final int MAX_LEAVING_INSTANCES = 5_000;
+
     private final Timers timers;
     private final Timeline timeline;
     private final Map<String, TargetHealth> byId = new HashMap<>();
     private final Set<String> lapsed = new HashSet<>();
+    /** Instances known to be leaving, also after their entries were removed; the oldest are forgotten. */
+    private final Set<String> leavingInstances = Collections.newSetFromMap(new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
+            return size() > MAX_LEAVING_INSTANCES;
+        }
+    });
+
     private final List<Runnable> listeners = new ArrayList<>();
     private long storeRegainedAtMillis = Long.MIN_VALUE / 2;
     private boolean storeLost;
@@ -97,6 +111,9 @@
      */
     public void register(RegisteredTarget entry) {
         lapsed.remove(entry.id());
+        if (entry.leaving()) {
+            leavingInstances.add(entry.instanceId());
+        }
         TargetHealth known = byId.get(entry.id());
         if (known != null && known.entry().instanceId().equals(entry.instanceId()) && !known.isRemoved()) {
             boolean left = entry.leaving() && !known.entry().leaving();
@@ -108,7 +125,11 @@
             if (known != null && entry.startedAtMillis() > known.entry().startedAtMillis()) {
                 known.markEnded();
             }
-            byId.put(entry.id(), new TargetHealth(entry, timers));
+            TargetHealth joined = new TargetHealth(entry, timers);
+            if (leavingInstances.contains(entry.instanceId())) {
+                joined.markLeaving();
+            }
+            byId.put(entry.id(), joined);
             timeline.record(
                     EventKind.TARGET_JOINED,
                     "target",
@@ -123,6 +144,18 @@
         notifyListeners();
     }
 
+    /**
+     * Handles that a target said in an answer that it is about to stop. It gets no new requests any more.
+     * @param target the target
+     */
+    public void onLeaving(TargetHealth target) {
+        if (target.markLeaving()) {
+            leavingInstances.add(target.entry().instanceId());
+            timeline.record(EventKind.TARGET_LEFT, "target", target.entry().id(), "reason", "leaving, by its answer");
+            notifyListeners();
+        }
+    }
+
     /**
      * Handles the removal of an entry from the store. During and shortly after a store outage, the target stays listed
      * until the grace period ends.
--- a/siskinlead-core/src/test/java/org/siskinlead/core/fakes/FakeTargetLink.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/fakes/FakeTargetLink.java
@@ -33,6 +33,8 @@
         public final Dispatch dispatch;
         public final Listener listener;
         public boolean cancelled;
+        /** Whether the target says in its answer that it is about to stop. */
+        public boolean leaving;
 
         ReceivedRequest(Dispatch dispatch, Listener listener) {
             this.dispatch = dispatch;
@@ -54,7 +56,7 @@
         }
 
         public void respondForAnotherRequest() {
-            listener.onHead(new TargetResponse(200, false, true, false, "", -1, List.of()));
+            listener.onHead(new TargetResponse(200, false, true, false, "", -1, false, List.of()));
         }
 
         public void startStream() {
@@ -80,7 +82,7 @@
         }
 
         private TargetResponse responseHead(int status, boolean notRun, boolean sealed) {
-            return new TargetResponse(status, notRun, sealed, true, "", -1, List.of());
+            return new TargetResponse(status, notRun, sealed, true, "", -1, leaving, List.of());
         }
     }
 
