Leave a target alone for the time that it asks for

A target that turns a request away with 503 and Retry-After got requests again after 0.1 to 0.3 s, and probes. The field was not read. Where no target of the service can be used in time, requests are refused at once, as not run, with the time that is left and a jitter, instead of waiting for their limit.

--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/AbstractForwardedCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/AbstractForwardedCall.java
@@ -6,6 +6,7 @@
 import org.jspecify.annotations.Nullable;
 import org.siskinlead.core.crash.Suspect;
 import org.siskinlead.core.forwarding.ForwardingCounters.Count;
+import org.siskinlead.core.registry.TargetHealth;
 import org.siskinlead.core.serving.Refusal;
 import org.siskinlead.core.serving.RefusalCode;
 import org.siskinlead.core.time.Timer;
@@ -122,6 +123,36 @@
         if (response.leaving() && response.matchesRequest() && response.status() != MISDIRECTED_REQUEST) {
             context.registry().onLeaving(from.target());
         }
+        if (response.retryAfterMillis() > 0 && response.status() != MISDIRECTED_REQUEST) {
+            beginQuiet(from.target(), response.retryAfterMillis());
+            context.registry()
+                    .findByAddress(response.faultAddress())
+                    .ifPresent(faulty -> beginQuiet(faulty, response.retryAfterMillis()));
+        }
+    }
+
+    private void beginQuiet(TargetHealth target, long millis) {
+        if (!target.isQuiet()) {
+            context.timeline()
+                    .record(EventKind.TARGET_QUIET, "target", target.entry().id(), "forMs", millis);
+        }
+        target.quiet(millis);
+    }
+
+    /** Refuses the request if no target can be used within a time; returns whether it did. */
+    final boolean refuseIfUnusableFor(long waitMillis) {
+        long unusableMillis = chooser.millisToUse(admitted);
+        if (unusableMillis <= waitMillis) {
+            return false;
+        }
+        String reason = "no target accepts requests for " + unusableMillis + " ms";
+        if (sendHistory.mayHaveRun()) {
+            giveUp(reason);
+        } else {
+            long jitter = new RetryAfterJitter(context.random()).drawMillis(admitted.route());
+            refuse(RefusalCode.OVERLOADED, reason, unusableMillis + jitter);
+        }
+        return true;
     }
 
     final void onAttemptBegun() {
@@ -225,12 +256,15 @@
 
     /** Refuses a request that no target has executed. */
     final void refuse(RefusalCode code, String detail) {
+        refuse(code, detail, new RetryAfterJitter(context.random()).drawMillis(admitted.route()));
+    }
+
+    private void refuse(RefusalCode code, String detail, long retryAfterMillis) {
         if (done) {
             return;
         }
         end(detail, code.status());
         context.counters().incrementRefusals(code);
-        long retryAfterMillis = new RetryAfterJitter(context.random()).drawMillis(admitted.route());
         reply.refuse(Refusal.notRun(code, detail, retryAfterMillis));
     }
 
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/BufferedCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/BufferedCall.java
@@ -56,9 +56,10 @@
 
     @Override
     void sendOrWait() {
-        if (!trySend()) {
+        long waitMillis = Math.round(QUEUE_WAIT_OBJECTIVES * admitted.route().latencyObjectiveMillis());
+        if (!trySend() && !refuseIfUnusableFor(waitMillis)) {
             context.counters().increment(Count.QUEUED);
-            queue.add(this, Math.round(QUEUE_WAIT_OBJECTIVES * admitted.route().latencyObjectiveMillis()));
+            queue.add(this, waitMillis);
         }
     }
 
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamingCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamingCall.java
@@ -82,6 +82,9 @@
         long waitMillis = isRetryOrResume()
                 ? RETRY_WAIT_MS
                 : Math.round(objectiveMillis * (pathExists ? QUEUE_WAIT_OBJECTIVES : NO_PATH_WAIT_OBJECTIVES));
+        if (refuseIfUnusableFor(waitMillis)) {
+            return;
+        }
         if (!isRetryOrResume() && queue.wouldExceedWait(waitMillis)) {
             refuse(RefusalCode.QUEUE_FULL, "too many requests are queued for target capacity");
             return;
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/TargetChooser.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/TargetChooser.java
@@ -50,6 +50,19 @@
         return leastCost(usable).map(target -> new Choice(target, null));
     }
 
+    /**
+     * Gets the shortest time until a target of the service may be used.
+     * @param request the request
+     * @return milliseconds; 0 when one may be used now, or none is in service
+     */
+    long millisToUse(AdmittedRequest request) {
+        return context.registry().of(request.service().name()).stream()
+                .filter(TargetHealth::isAvailable)
+                .mapToLong(TargetHealth::millisToUse)
+                .min()
+                .orElse(0);
+    }
+
     private Optional<TargetHealth> leastCost(List<TargetHealth> usable) {
         TargetHealth best = null;
         double least = Double.MAX_VALUE;
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/TargetProber.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/TargetProber.java
@@ -127,6 +127,7 @@
         String instanceId = target.entry().instanceId();
         long now = timers.nowMillis();
         if (target.isDown()
+                || target.isQuiet()
                 || now - lastProbedAt.getOrDefault(instanceId, Long.MIN_VALUE / 2) < MIN_PROBE_INTERVAL_MS
                 || !probing.add(instanceId)) {
             return;
@@ -237,6 +238,10 @@
         if (target.isRemoved() || target.isDown()) {
             return;
         }
+        if (target.isQuiet()) {
+            timers.after(SLOW_RECHECK_INTERVAL_MS, () -> recheckSlow(target));
+            return;
+        }
         counters.increment(ForwardingCounters.Count.PROBES);
         link.probe(target.entry(), PROBE_TIMEOUT_MS, result -> {
             EngineState state = result.state();
@@ -258,6 +263,10 @@
         if (!target.isDown() || target.isRemoved()) {
             return;
         }
+        if (target.isQuiet()) {
+            timers.after(RECHECK_INTERVAL_MS, () -> recheck(target));
+            return;
+        }
         counters.increment(ForwardingCounters.Count.PROBES);
         link.probe(target.entry(), PROBE_TIMEOUT_MS, result -> {
             if (!target.isDown()) {
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/TargetResponse.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/TargetResponse.java
@@ -11,6 +11,7 @@
  * @param faultAddress address of another target that this one reports as faulty, empty for none
  * @param load running and waiting requests of the target, negative when not given
  * @param leaving whether the target says that it is about to stop
+ * @param retryAfterMillis time for which the target asks not to be sent requests, in milliseconds; 0 when not given
  * @param headers header fields to forward to the caller
  */
 public record TargetResponse(
@@ -21,6 +22,7 @@
         String faultAddress,
         double load,
         boolean leaving,
+        long retryAfterMillis,
         List<HeaderField> headers) {
     private static final int OK = 200;
     private static final int MULTIPLE_CHOICES = 300;
--- a/siskinlead-core/src/main/java/org/siskinlead/core/placement/LayerPlacementController.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/placement/LayerPlacementController.java
@@ -191,6 +191,9 @@
     }
 
     private void startOrder(TargetHealth engine, LayerRange layers) {
+        if (engine.isQuiet()) {
+            return;
+        }
         PendingOrder order = new PendingOrder(layers, timers.nowMillis());
         pendingOrders.put(engine.entry().instanceId(), order);
         link.probe(engine.entry(), STATE_TIMEOUT_MS, probe -> {
@@ -243,7 +246,7 @@
             pendingOrders.remove(instanceId, order);
             return;
         }
-        if (order.stateRequested || (!order.accepted && age < UNANSWERED_ORDER_DELAY_MS)) {
+        if (engine.isQuiet() || order.stateRequested || (!order.accepted && age < UNANSWERED_ORDER_DELAY_MS)) {
             return;
         }
         order.stateRequested = true;
--- a/siskinlead-core/src/main/java/org/siskinlead/core/registry/TargetHealth.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/registry/TargetHealth.java
@@ -25,6 +25,7 @@
     private long loadReportedAt = Long.MIN_VALUE / 2;
     private long avoidUntil = Long.MIN_VALUE / 2;
     private long downUntil = Long.MIN_VALUE / 2;
+    private long quietUntil = Long.MIN_VALUE / 2;
     private double slowdown = 1;
     private long slowdownReportedAt = Long.MIN_VALUE / 2;
     private boolean ended;
@@ -49,10 +50,26 @@
 
     /**
      * Checks whether the target may get new requests.
-     * @return false while it is leaving, removed, marked down or avoided after a failure
+     * @return false while it is leaving, removed, marked down, avoided after a failure, or asks for quiet
      */
     public boolean isUsable() {
-        return isAvailable() && timers.nowMillis() >= avoidUntil;
+        return isAvailable() && millisToUse() == 0;
+    }
+
+    /**
+     * Gets the time for which an available target is still avoided or asks for quiet.
+     * @return milliseconds, 0 if it may get requests now
+     */
+    public long millisToUse() {
+        return Math.max(0, Math.max(avoidUntil, quietUntil) - timers.nowMillis());
+    }
+
+    /**
+     * Checks whether the target has asked not to be sent requests for a time that has not passed.
+     * @return true until the time given to {@link #quiet} has passed
+     */
+    public boolean isQuiet() {
+        return timers.nowMillis() < quietUntil;
     }
 
     /**
@@ -242,6 +259,14 @@
         avoidUntil = Math.max(avoidUntil, timers.nowMillis() + millis);
     }
 
+    /**
+     * Leaves the target alone for a period that it has asked for; never shortens the current one.
+     * @param millis period in milliseconds
+     */
+    public void quiet(long millis) {
+        quietUntil = Math.max(quietUntil, timers.nowMillis() + millis);
+    }
+
     /**
      * Marks the target as down for a period; never shortens the current one.
      * @param millis period in milliseconds
--- a/siskinlead-core/src/main/java/org/siskinlead/core/timeline/EventKind.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/timeline/EventKind.java
@@ -12,6 +12,8 @@
     /** A target did not answer, or was found down, and receives no requests until it recovers. */
     TARGET_SUSPECTED,
     TARGET_RECOVERED,
+    /** A target turned a request away and asked not to be sent any for a time. */
+    TARGET_QUIET,
     TARGET_SLOW,
     /** An engine holds the layers that it was ordered to load. */
     TARGET_PLACED,
--- a/siskinlead-core/src/test/java/org/siskinlead/core/fakes/FakeTargetLink.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/fakes/FakeTargetLink.java
@@ -20,6 +20,7 @@
     public final Map<String, Health> healthByTarget = new HashMap<>();
     public final Map<String, Double> slowdownByTarget = new HashMap<>();
     public int probeCount;
+    public final Map<String, Integer> probesByTarget = new HashMap<>();
 
     private static final long PROBE_LATENCY_MS = 2;
     private final Timers timers;
@@ -35,6 +36,8 @@
         public boolean cancelled;
         /** Whether the target says in its answer that it is about to stop. */
         public boolean leaving;
+        /** Time for which the target asks not to be sent requests. */
+        public long retryAfterMillis;
 
         ReceivedRequest(Dispatch dispatch, Listener listener) {
             this.dispatch = dispatch;
@@ -56,7 +59,7 @@
         }
 
         public void respondForAnotherRequest() {
-            listener.onHead(new TargetResponse(200, false, true, false, "", -1, false, List.of()));
+            listener.onHead(new TargetResponse(200, false, true, false, "", -1, false, 0, List.of()));
         }
 
         public void startStream() {
@@ -82,7 +85,7 @@
         }
 
         private TargetResponse responseHead(int status, boolean notRun, boolean sealed) {
-            return new TargetResponse(status, notRun, sealed, true, "", -1, leaving, List.of());
+            return new TargetResponse(status, notRun, sealed, true, "", -1, leaving, retryAfterMillis, List.of());
         }
     }
 
@@ -100,6 +103,7 @@
     @Override
     public void probe(RegisteredTarget target, long timeoutMillis, Consumer<ProbeResult> onResult) {
         probeCount++;
+        probesByTarget.merge(target.id(), 1, Integer::sum);
         Health found = healthByTarget.getOrDefault(target.id(), Health.ALIVE);
         long wait = found == Health.SILENT ? timeoutMillis : PROBE_LATENCY_MS;
         timers.after(wait, () -> {
