Trust nothing that the store said before it came back from an older copy

After such a return callers could be sent to targets that had left, and daemons could vanish from the roster: changes with lower revisions than before were ignored, a watch went on from a revision that is given out again, and a lease number could belong to another daemon. The era that all answers carry was not read. An answer now counts only in the era in which its call was sent; the first of a new one starts a complete reading, a new lease and registration, and the evidence about crashes is written again.

The product's own form does not read the era yet.

--- a/siskinlead-core/src/main/java/org/siskinlead/core/crash/CrashReports.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/crash/CrashReports.java
@@ -121,11 +121,7 @@
             return;
         }
         timers.after(CrashAttribution.CRASH_TTL_MS, () -> ownSuspects.remove(instanceId));
-        List<String> lines = all.stream()
-                .limit(MAX_SUSPECTS)
-                .map(s -> s.attempt() + FIELD_SEPARATOR + String.join(FIELD_SEPARATOR, s.traits()))
-                .toList();
-        write(SUSPECTS_PREFIX + instanceId + "/" + vm, lines);
+        writeSuspects(instanceId, all);
     }
 
     /**
@@ -145,7 +141,7 @@
             }
             own.addAll(missing);
             timers.after(CrashAttribution.CRASH_TTL_MS, () -> ownClearances.remove(trait));
-            write(CLEARED_PREFIX + trait + "/" + vm, List.copyOf(own));
+            writeClearance(trait, own);
         });
     }
 
@@ -178,6 +174,26 @@
         });
     }
 
+    /** Writes the evidence of this daemon again, since the store may have lost it. */
+    public void onNewStoreEra() {
+        presentKeys.clear();
+        othersClearances.clear();
+        ownSuspects.forEach(this::writeSuspects);
+        ownClearances.forEach((trait, instanceIds) -> writeClearance(trait, instanceIds));
+    }
+
+    private void writeSuspects(String instanceId, Set<Suspect> suspects) {
+        List<String> lines = suspects.stream()
+                .limit(MAX_SUSPECTS)
+                .map(s -> s.attempt() + FIELD_SEPARATOR + String.join(FIELD_SEPARATOR, s.traits()))
+                .toList();
+        write(SUSPECTS_PREFIX + instanceId + "/" + vm, lines);
+    }
+
+    private void writeClearance(String trait, Set<String> instanceIds) {
+        write(CLEARED_PREFIX + trait + "/" + vm, List.copyOf(instanceIds));
+    }
+
     // Evidence in the store, that of earlier processes of this VM included
 
     /**
--- a/siskinlead-core/src/main/java/org/siskinlead/core/gateway/Gateway.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/gateway/Gateway.java
@@ -286,6 +286,16 @@
         }
     }
 
+    /**
+     * Handles that the store has come back from an older copy: entries may be missing until they are written again, and
+     * revisions and leases are given out again.
+     */
+    public void onNewStoreEra() {
+        onStoreLost("it came back from an older copy");
+        roster.onNewStoreEra();
+        crashReports.onNewStoreEra();
+    }
+
     /**
      * Shuts down gracefully: leaves the roster immediately, lets running requests continue, and aborts those that
      * remain shortly before the end of the grace period.
--- a/siskinlead-core/src/main/java/org/siskinlead/core/roster/Roster.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/roster/Roster.java
@@ -53,6 +53,10 @@
     private static final int MAX_SMALL_ROSTER = 8;
 
     private static final long TICK_INTERVAL_MS = 200;
+    /** Interval between the registrations of two daemons, of two writes each, after the store has lost them. */
+    private static final long REGISTRATION_INTERVAL_MS = 10;
+
+    private static final long UNKNOWN_LEASE = -1;
     /** Delay before a write is repeated whose effect the store has not yet reported. */
     private static final long RESEND_DELAY_MS = 600;
     /** Delay between the daemons' attempts to claim the issuer key, so that usually only one of them writes. */
@@ -293,6 +297,18 @@
         tick();
     }
 
+    /**
+     * Handles that the store has come back from an older copy. The lease is given up without ending it, since its number
+     * may belong to another daemon now; a large roster spreads its new leases by name.
+     */
+    public void onNewStoreEra() {
+        lease = 0;
+        leaseByKey.replaceAll((key, heldBy) -> UNKNOWN_LEASE);
+        long spread = isLarge() ? Math.floorMod(self.vm().hashCode(), REGISTRATION_INTERVAL_MS * entries.size()) : 0;
+        lastRenewalAt = timers.nowMillis() + spread - TICK_INTERVAL_MS;
+        timers.after(spread, this::tick);
+    }
+
     private void tick() {
         if (leaving) {
             return;
--- a/siskinlead-core/src/test/java/org/siskinlead/core/crash/CrashReportsTest.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/crash/CrashReportsTest.java
@@ -85,6 +85,19 @@
         assertThat(received).contains("vm1 a@1 x-1 part:bad,request:f");
     }
 
+    @Test
+    void writesItsEvidenceAgainWhenTheStoreHasLostIt() {
+        sender.reportCrash("a@1", List.of(SUSPECT));
+        sender.reportCleared("part:bad", List.of("a@1"));
+        timers.advance(1_000);
+        List<String> before = store.keys();
+        store.comeBackEmpty();
+        sender.onNewStoreEra();
+        timers.advance(1_000);
+
+        assertThat(store.keys()).containsExactlyElementsIn(before);
+    }
+
     @Test
     void reportsAClearanceOnlyOnce() {
         sender.reportCleared("part:bad", List.of("a@1"));
--- a/siskinlead-core/src/test/java/org/siskinlead/core/fakes/FakeLeaseStore.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/fakes/FakeLeaseStore.java
@@ -80,6 +80,14 @@
         gateway.roster().retainKeys(items.keySet());
     }
 
+    /** Loses everything, as if it came back from a copy made before the first write; leases are numbered from 1 again. */
+    public void comeBackEmpty() {
+        items.clear();
+        expiresAtByLease.clear();
+        lastLease = 0;
+        revision = 1;
+    }
+
     public void detachAll() {
         watchers.clear();
     }
--- a/siskinlead-core/src/test/java/org/siskinlead/core/roster/RosterTest.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/roster/RosterTest.java
@@ -45,6 +45,27 @@
         assertThat(issuers()).hasSize(1);
     }
 
+    // Guards against leases that the store gives out again after it came back from an older copy.
+    @Test
+    void registersAgainWhenTheStoreHasLostEverythingAndNumbersLeasesAnew() {
+        store.comeBackEmpty();
+        for (Roster roster : rosters) {
+            roster.onStoreLost();
+            roster.onNewStoreEra();
+            roster.retainKeys(List.of());
+            roster.onStoreRegained();
+            assertThat(roster.mayIssueOrders()).isFalse();
+        }
+        timers.advance(1_000);
+
+        assertThat(store.keys()).containsAtLeast("siskinlead/vm/vm0", "siskinlead/vm/vm1", "siskinlead/vm/vm2");
+        assertThat(issuers()).hasSize(1);
+        timers.advance(10_000);
+        for (Roster roster : rosters) {
+            assertThat(roster.entries()).hasSize(3);
+        }
+    }
+
     @Test
     void letsAnotherDaemonIssueOrdersWhenTheIssuerLeaves() {
         Roster issuer = issuers().get(0);
--- a/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/HttpClient.java
+++ b/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/HttpClient.java
@@ -25,12 +25,15 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
+import org.siskinlead.core.forwarding.HeaderField;
 
 /** Sends HTTP/1.1 requests over pooled or new connections. A connection carries one exchange at a time. */
 public final class HttpClient {
@@ -73,12 +76,18 @@
      * Result of an exchange.
      * @param failure why there is no response, or null if there is one
      * @param status HTTP status; 0 without a response
+     * @param headers header fields of the response; empty without a response
      * @param body body of the response; empty without a response
      */
     @SuppressWarnings("ArrayRecordComponent")
-    public record Result(@Nullable Failure failure, int status, byte[] body) {
-        static Result failed(Failure failure) {
-            return new Result(failure, 0, new byte[0]);
+    public record Result(@Nullable Failure failure, int status, List<HeaderField> headers, byte[] body) {
+        /**
+         * Creates the result of an exchange without a response.
+         * @param failure why there is none
+         * @return the result
+         */
+        public static Result failed(Failure failure) {
+            return new Result(failure, 0, List.of(), new byte[0]);
         }
     }
 
@@ -227,7 +236,9 @@
             } else {
                 context.close();
             }
-            exchange.end(new Result(null, response.status().code(), body));
+            List<HeaderField> headers = new ArrayList<>();
+            response.headers().forEach(h -> headers.add(new HeaderField(h.getKey(), h.getValue())));
+            exchange.end(new Result(null, response.status().code(), headers, body));
         }
 
         @Override
