--- a/siskinlead-core/src/main/java/org/siskinlead/core/crash/CrashAttribution.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/crash/CrashAttribution.java
@@ -122,13 +122,13 @@
     }
 
     /**
-     * Checks whether an answer has been written for requests with each of the traits, so that none of them is likely to
-     * crash a target.
-     * @param traits traits of a request
-     * @return true if each trait has started
+     * Checks whether another crash accuses one of the traits, which has not been cleared of it.
+     * @param traits traits of a suspect
+     * @param instanceId instance whose crash is left out
+     * @return true if there is such a crash
      */
-    public boolean haveStarted(Collection<String> traits) {
-        return startsByTrait.keySet().containsAll(traits);
+    public boolean isAccusedBesides(Collection<String> traits, String instanceId) {
+        return traits.stream().flatMap(t -> crashesAccusing(t).stream()).anyMatch(id -> !id.equals(instanceId));
     }
 
     /**
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/AbstractForwardedCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/AbstractForwardedCall.java
@@ -179,8 +179,8 @@
     }
 
     @Override
-    public final void endIfUnproven() {
-        if (!done && !hasDelivered() && !context.crashWatch().haveStarted(admitted)) {
+    public final void endIfAccusedBesides(String instanceId) {
+        if (!done && !hasDelivered() && context.crashWatch().isAccusedBesides(admitted, instanceId)) {
             endAsSuspect();
         }
     }
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/CrashWatch.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/CrashWatch.java
@@ -51,9 +51,9 @@
         return attribution.hasBlocked() && !request.isTrial() && attribution.isBlocked(request.traits());
     }
 
-    /** Tells whether targets have written answers for requests with each shared part of this one's prompt. */
-    boolean haveStarted(AdmittedRequest request) {
-        return attribution.haveStarted(request.parts());
+    /** Tells whether a shared part of the request's prompt is accused of another crash than that of an instance. */
+    boolean isAccusedBesides(AdmittedRequest request, String instanceId) {
+        return attribution.isAccusedBesides(request.parts(), instanceId);
     }
 
     /** Creates the refusal of a blocked request, which asks the caller to wait for the next trial. */
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/ForwardedCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/ForwardedCall.java
@@ -25,8 +25,8 @@
     /** Ends the request if it is likely to crash its next target. */
     void endIfBlocked();
 
-    /** Ends the request, which may have crashed a target, if no other has shown that its prompt does not. */
-    void endIfUnproven();
+    /** Ends the request, which may have crashed an instance of a target, if a part of its prompt is accused already. */
+    void endIfAccusedBesides(String instanceId);
 
     /** Cancels the request because the caller closed its connection. */
     void onCallerDisconnected();
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/TargetLossHandler.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/TargetLossHandler.java
@@ -98,17 +98,17 @@
     /** Reports this daemon's suspects of a crash, and ends those whose next target may crash as well. */
     private void reportSuspects(String instanceId) {
         List<Suspect> suspects = suspectsOn(instanceId);
-        List<ForwardedCall> unproven = new ArrayList<>();
+        List<ForwardedCall> suspected = new ArrayList<>();
         for (ForwardedCall call : running) {
             if (call.suspectOn(instanceId).isPresent()) {
-                unproven.add(call);
+                suspected.add(call);
             }
         }
         for (AdmittedRequest broken : context.prober().requestsBrokenOn(instanceId)) {
-            running.stream().filter(call -> call.admitted().equals(broken)).forEach(unproven::add);
+            running.stream().filter(call -> call.admitted().equals(broken)).forEach(suspected::add);
         }
         context.crashWatch().onOwnCrash(instanceId, suspects);
-        unproven.forEach(ForwardedCall::endIfUnproven);
+        suspected.forEach(call -> call.endIfAccusedBesides(instanceId));
         endBlocked();
     }
 
