Reading: terms of the field, and a suspect is proven by its route's longest pause

The event is TARGET_BACKOFF. The time for which a target must write until its request is no longer a suspect follows from the route's objective for the gap between events; it was 250 ms.

--- a/siskinlead-core/src/main/java/org/siskinlead/core/crash/CrashReports.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/crash/CrashReports.java
@@ -175,7 +175,7 @@
     }
 
     /** Writes the evidence of this daemon again, since the store may have lost it. */
-    public void onNewStoreEra() {
+    public void onStoreRestored() {
         presentKeys.clear();
         othersClearances.clear();
         ownSuspects.forEach(this::writeSuspects);
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/AbstractForwardedCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/AbstractForwardedCall.java
@@ -124,19 +124,19 @@
             context.registry().onLeaving(from.target());
         }
         if (response.retryAfterMillis() > 0 && response.status() != MISDIRECTED_REQUEST) {
-            beginQuiet(from.target(), response.retryAfterMillis());
+            beginBackoff(from.target(), response.retryAfterMillis());
             context.registry()
                     .findByAddress(response.faultAddress())
-                    .ifPresent(faulty -> beginQuiet(faulty, response.retryAfterMillis()));
+                    .ifPresent(faulty -> beginBackoff(faulty, response.retryAfterMillis()));
         }
     }
 
-    private void beginQuiet(TargetHealth target, long millis) {
-        if (!target.isQuiet()) {
+    private void beginBackoff(TargetHealth target, long millis) {
+        if (!target.isBackingOff()) {
             context.timeline()
-                    .record(EventKind.TARGET_QUIET, "target", target.entry().id(), "forMs", millis);
+                    .record(EventKind.TARGET_BACKOFF, "target", target.entry().id(), "forMs", millis);
         }
-        target.quiet(millis);
+        target.backOff(millis);
     }
 
     /** Refuses the request if no target can be used within a time; returns whether it did. */
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamingCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamingCall.java
@@ -33,9 +33,6 @@
     /** Time for which a target that another target reported as faulty is avoided. */
     private static final long AVOID_REPORTED_MS = 700;
 
-    /** Time for which a target has to write an answer until the request is no longer suspected of crashing it. */
-    private static final long PROVEN_AFTER_MS = 250;
-
     /** Largest body of a failure that is passed on; longer ones are not answers. */
     private static final int MAX_FAILURE_BYTES = 65_536;
 
@@ -251,7 +248,8 @@
             from.target().onAnswer((double) sinceSendMillis);
         }
         sendHistory.onMayHaveRun();
-        if (timing.hasWrittenFor(PROVEN_AFTER_MS)) {
+        // A target that has written for as long as its longest pause may be lives on.
+        if (timing.hasWrittenFor(gapObjectiveMillis())) {
             onProven();
         }
     }
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/TargetProber.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/TargetProber.java
@@ -127,7 +127,7 @@
         String instanceId = target.entry().instanceId();
         long now = timers.nowMillis();
         if (target.isDown()
-                || target.isQuiet()
+                || target.isBackingOff()
                 || now - lastProbedAt.getOrDefault(instanceId, Long.MIN_VALUE / 2) < MIN_PROBE_INTERVAL_MS
                 || !probing.add(instanceId)) {
             return;
@@ -238,7 +238,7 @@
         if (target.isRemoved() || target.isDown()) {
             return;
         }
-        if (target.isQuiet()) {
+        if (target.isBackingOff()) {
             timers.after(SLOW_RECHECK_INTERVAL_MS, () -> recheckSlow(target));
             return;
         }
@@ -263,7 +263,7 @@
         if (!target.isDown() || target.isRemoved()) {
             return;
         }
-        if (target.isQuiet()) {
+        if (target.isBackingOff()) {
             timers.after(RECHECK_INTERVAL_MS, () -> recheck(target));
             return;
         }
--- a/siskinlead-core/src/main/java/org/siskinlead/core/gateway/Gateway.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/gateway/Gateway.java
@@ -287,13 +287,13 @@
     }
 
     /**
-     * Handles that the store has come back from an older copy: entries may be missing until they are written again, and
+     * Handles that the store was restored from an older snapshot: entries may be missing until they are written again, and
      * revisions and leases are given out again.
      */
-    public void onNewStoreEra() {
-        onStoreLost("it came back from an older copy");
-        roster.onNewStoreEra();
-        crashReports.onNewStoreEra();
+    public void onStoreRestored() {
+        onStoreLost("it was restored from an older snapshot");
+        roster.onStoreRestored();
+        crashReports.onStoreRestored();
     }
 
     /**
--- a/siskinlead-core/src/main/java/org/siskinlead/core/placement/LayerPlacementController.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/placement/LayerPlacementController.java
@@ -191,7 +191,7 @@
     }
 
     private void startOrder(TargetHealth engine, LayerRange layers) {
-        if (engine.isQuiet()) {
+        if (engine.isBackingOff()) {
             return;
         }
         PendingOrder order = new PendingOrder(layers, timers.nowMillis());
@@ -246,7 +246,7 @@
             pendingOrders.remove(instanceId, order);
             return;
         }
-        if (engine.isQuiet() || order.stateRequested || (!order.accepted && age < UNANSWERED_ORDER_DELAY_MS)) {
+        if (engine.isBackingOff() || order.stateRequested || (!order.accepted && age < UNANSWERED_ORDER_DELAY_MS)) {
             return;
         }
         order.stateRequested = true;
--- a/siskinlead-core/src/main/java/org/siskinlead/core/registry/TargetHealth.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/registry/TargetHealth.java
@@ -25,7 +25,7 @@
     private long loadReportedAt = Long.MIN_VALUE / 2;
     private long avoidUntil = Long.MIN_VALUE / 2;
     private long downUntil = Long.MIN_VALUE / 2;
-    private long quietUntil = Long.MIN_VALUE / 2;
+    private long backoffUntil = Long.MIN_VALUE / 2;
     private double slowdown = 1;
     private long slowdownReportedAt = Long.MIN_VALUE / 2;
     private boolean ended;
@@ -50,26 +50,26 @@
 
     /**
      * Checks whether the target may get new requests.
-     * @return false while it is leaving, removed, marked down, avoided after a failure, or asks for quiet
+     * @return false while it is leaving, removed, marked down, avoided after a failure, or it has asked for a backoff
      */
     public boolean isUsable() {
         return isAvailable() && millisToUse() == 0;
     }
 
     /**
-     * Gets the time for which an available target is still avoided or asks for quiet.
+     * Gets the time for which an available target is still avoided, or has asked not to be sent requests.
      * @return milliseconds, 0 if it may get requests now
      */
     public long millisToUse() {
-        return Math.max(0, Math.max(avoidUntil, quietUntil) - timers.nowMillis());
+        return Math.max(0, Math.max(avoidUntil, backoffUntil) - timers.nowMillis());
     }
 
     /**
      * Checks whether the target has asked not to be sent requests for a time that has not passed.
-     * @return true until the time given to {@link #quiet} has passed
+     * @return true until the time given to {@link #backOff} has passed
      */
-    public boolean isQuiet() {
-        return timers.nowMillis() < quietUntil;
+    public boolean isBackingOff() {
+        return timers.nowMillis() < backoffUntil;
     }
 
     /**
@@ -263,8 +263,8 @@
      * Leaves the target alone for a period that it has asked for; never shortens the current one.
      * @param millis period in milliseconds
      */
-    public void quiet(long millis) {
-        quietUntil = Math.max(quietUntil, timers.nowMillis() + millis);
+    public void backOff(long millis) {
+        backoffUntil = Math.max(backoffUntil, timers.nowMillis() + millis);
     }
 
     /**
--- a/siskinlead-core/src/main/java/org/siskinlead/core/roster/Roster.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/roster/Roster.java
@@ -298,10 +298,10 @@
     }
 
     /**
-     * Handles that the store has come back from an older copy. The lease is given up without ending it, since its number
+     * Handles that the store was restored from an older snapshot. The lease is given up without ending it, since its number
      * may belong to another daemon now; a large roster spreads its new leases by name.
      */
-    public void onNewStoreEra() {
+    public void onStoreRestored() {
         lease = 0;
         leaseByKey.replaceAll((key, heldBy) -> UNKNOWN_LEASE);
         long spread = isLarge() ? Math.floorMod(self.vm().hashCode(), REGISTRATION_INTERVAL_MS * entries.size()) : 0;
--- a/siskinlead-core/src/main/java/org/siskinlead/core/timeline/EventKind.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/timeline/EventKind.java
@@ -13,7 +13,7 @@
     TARGET_SUSPECTED,
     TARGET_RECOVERED,
     /** A target turned a request away and asked not to be sent any for a time. */
-    TARGET_QUIET,
+    TARGET_BACKOFF,
     TARGET_SLOW,
     /** An engine holds the layers that it was ordered to load. */
     TARGET_PLACED,
--- a/siskinlead-core/src/test/java/org/siskinlead/core/crash/CrashReportsTest.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/crash/CrashReportsTest.java
@@ -91,8 +91,8 @@
         sender.reportCleared("part:bad", List.of("a@1"));
         timers.advance(1_000);
         List<String> before = store.keys();
-        store.comeBackEmpty();
-        sender.onNewStoreEra();
+        store.restoreEmpty();
+        sender.onStoreRestored();
         timers.advance(1_000);
 
         assertThat(store.keys()).containsExactlyElementsIn(before);
--- a/siskinlead-core/src/test/java/org/siskinlead/core/fakes/FakeLeaseStore.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/fakes/FakeLeaseStore.java
@@ -80,8 +80,8 @@
         gateway.roster().retainKeys(items.keySet());
     }
 
-    /** Loses everything, as if it came back from a copy made before the first write; leases are numbered from 1 again. */
-    public void comeBackEmpty() {
+    /** Loses everything, as if restored from a snapshot taken before the first write; leases are numbered from 1 again. */
+    public void restoreEmpty() {
         items.clear();
         expiresAtByLease.clear();
         lastLease = 0;
--- a/siskinlead-core/src/test/java/org/siskinlead/core/forwarding/QuietTargetTest.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/forwarding/BackoffTest.java
@@ -13,9 +13,9 @@
 import org.siskinlead.core.serving.RequestOutcome;
 
 /** Tests that a target that turns a request away for a time is left alone for that time, by requests and by probes. */
-class QuietTargetTest {
-    private static final long QUIET_MS = 4_000;
-    /** Requests that may reach a target that asked for quiet, by the users' rule. */
+class BackoffTest {
+    private static final long BACKOFF_MS = 4_000;
+    /** Requests that may reach a target that asked for a backoff, by the users' rule. */
     private static final int MAX_ARRIVALS = 2;
     /** Enough for every target to be used. */
     private static final int CONCURRENT = 30;
@@ -28,7 +28,7 @@
         arrivals(path, 3, 50);
         bed.send(path);
         ReceivedRequest sent = bed.link.last();
-        sent.retryAfterMillis = QUIET_MS;
+        sent.retryAfterMillis = BACKOFF_MS;
         sent.respondNotRun(503);
         return sent.dispatch.target().id();
     }
@@ -63,33 +63,33 @@
 
     // Guards against requests that a target has asked not to be sent for a time.
     @Test
-    void leavesATargetAloneThatAskedForQuiet() {
-        String quiet = turnAway("/safe/x");
+    void leavesATargetAloneThatAskedForBackoff() {
+        String turnedAway = turnAway("/safe/x");
 
-        assertThat(arrivals("/safe/x", 70, 50).getOrDefault(quiet, 0)).isAtMost(MAX_ARRIVALS);
-        assertThat(bed.registry.find(quiet).orElseThrow().isAvailable()).isTrue();
+        assertThat(arrivals("/safe/x", 70, 50).getOrDefault(turnedAway, 0)).isAtMost(MAX_ARRIVALS);
+        assertThat(bed.registry.find(turnedAway).orElseThrow().isAvailable()).isTrue();
     }
 
     @Test
-    void leavesAnEngineAloneThatAskedForQuiet() {
-        String quiet = turnAway("/stream/x");
+    void leavesAnEngineAloneThatAskedForBackoff() {
+        String turnedAway = turnAway("/stream/x");
 
-        assertThat(arrivals("/stream/x", 70, 50).getOrDefault(quiet, 0)).isAtMost(MAX_ARRIVALS);
+        assertThat(arrivals("/stream/x", 70, 50).getOrDefault(turnedAway, 0)).isAtMost(MAX_ARRIVALS);
     }
 
     @Test
     void usesTheTargetAgainOnceTheTimeHasPassed() {
-        String quiet = turnAway("/safe/x");
-        bed.timers.advance(QUIET_MS);
+        String turnedAway = turnAway("/safe/x");
+        bed.timers.advance(BACKOFF_MS);
         bed.renewProof();
 
-        assertThat(arrivals("/safe/x", 60, 20)).containsKey(quiet);
+        assertThat(arrivals("/safe/x", 60, 20)).containsKey(turnedAway);
     }
 
     @Test
-    void doesNotProbeATargetThatAskedForQuiet() {
-        String quiet = turnAway("/stream/x");
-        int before = bed.link.probesByTarget.getOrDefault(quiet, 0);
+    void doesNotProbeATargetThatAskedForBackoff() {
+        String turnedAway = turnAway("/stream/x");
+        int before = bed.link.probesByTarget.getOrDefault(turnedAway, 0);
         for (int i = 0; i < 10; i++) {
             bed.send("/stream/x");
             ReceivedRequest sent = bed.link.last();
@@ -100,12 +100,12 @@
             sent.fail(LinkFailure.BROKEN);
         }
 
-        assertThat(bed.link.probesByTarget.getOrDefault(quiet, 0) - before).isAtMost(MAX_ARRIVALS);
+        assertThat(bed.link.probesByTarget.getOrDefault(turnedAway, 0) - before).isAtMost(MAX_ARRIVALS);
     }
 
     // Guards against callers that wait for targets of which it is known that none wants requests in time.
     @Test
-    void refusesAtOnceWithTheTimeThatIsLeftWhileAllTargetsAskForQuiet() {
+    void refusesAtOnceWithTheTimeThatIsLeftWhileAllTargetsAskForBackoff() {
         List<RecordedReply> replies = new ArrayList<>();
         for (int i = 0; i < 20; i++) {
             replies.add(bed.send("/safe/x"));
@@ -114,7 +114,7 @@
                 before = bed.link.received.size();
                 for (ReceivedRequest sent : List.copyOf(bed.link.received)) {
                     if (sent.retryAfterMillis == 0) {
-                        sent.retryAfterMillis = QUIET_MS;
+                        sent.retryAfterMillis = BACKOFF_MS;
                         sent.respondNotRun(503);
                     }
                 }
@@ -125,10 +125,10 @@
 
         assertThat(sent).isAtMost(6);
         assertThat(reply.refusal.outcome()).isEqualTo(RequestOutcome.NOT_RUN);
-        assertThat(reply.refusal.retryAfterMillis()).isAtLeast(QUIET_MS - 100);
-        assertThat(reply.refusal.retryAfterMillis()).isAtMost(2 * QUIET_MS);
+        assertThat(reply.refusal.retryAfterMillis()).isAtLeast(BACKOFF_MS - 100);
+        assertThat(reply.refusal.retryAfterMillis()).isAtMost(2 * BACKOFF_MS);
         assertThat(replies.stream()
-                        .filter(r -> r.refusal != null && r.refusal.retryAfterMillis() >= QUIET_MS - 100)
+                        .filter(r -> r.refusal != null && r.refusal.retryAfterMillis() >= BACKOFF_MS - 100)
                         .mapToLong(r -> r.refusal.retryAfterMillis())
                         .distinct()
                         .count())
--- a/siskinlead-core/src/test/java/org/siskinlead/core/roster/RosterTest.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/roster/RosterTest.java
@@ -45,13 +45,13 @@
         assertThat(issuers()).hasSize(1);
     }
 
-    // Guards against leases that the store gives out again after it came back from an older copy.
+    // Guards against leases that the store gives out again after it was restored from an older snapshot.
     @Test
     void registersAgainWhenTheStoreHasLostEverythingAndNumbersLeasesAnew() {
-        store.comeBackEmpty();
+        store.restoreEmpty();
         for (Roster roster : rosters) {
             roster.onStoreLost();
-            roster.onNewStoreEra();
+            roster.onStoreRestored();
             roster.retainKeys(List.of());
             roster.onStoreRegained();
             assertThat(roster.mayIssueOrders()).isFalse();
