Log the limits that targets name on the rate of their requests

The log could not tell whether a daemon that sends too much knows of the limit. Server-Limit is decoded (values that are no number from 0 are ignored and logged) and each change of it is an event, TARGET_RATE_LIMIT. Nothing acts on it yet.

--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/AbstractForwardedCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/AbstractForwardedCall.java
@@ -120,8 +120,11 @@
             from.target().onLoad(response.load());
         }
         // Another target than the expected one speaks only for itself.
-        if (response.leaving() && response.matchesRequest() && response.status() != MISDIRECTED_REQUEST) {
-            context.registry().onLeaving(from.target());
+        if (response.matchesRequest() && response.status() != MISDIRECTED_REQUEST) {
+            if (response.leaving()) {
+                context.registry().onLeaving(from.target());
+            }
+            context.rateLimits().onAnswer(from.target().entry().instanceId(), response.requestsPerSecond());
         }
         if (response.retryAfterMillis() > 0 && response.status() != MISDIRECTED_REQUEST) {
             beginBackoff(from.target(), response.retryAfterMillis());
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/Forwarder.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/Forwarder.java
@@ -18,6 +18,7 @@
 import org.siskinlead.core.crash.CrashReports;
 import org.siskinlead.core.forwarding.ForwardingCounters.Count;
 import org.siskinlead.core.freshness.Freshness;
+import org.siskinlead.core.ratelimit.TargetRateLimits;
 import org.siskinlead.core.registry.TargetRegistry;
 import org.siskinlead.core.retry.CrashSuspects;
 import org.siskinlead.core.serving.Refusal;
@@ -121,6 +122,7 @@
                 CrashSuspects.of(timers),
                 new CrashWatch(timers, timeline, Long.toHexString(random.nextLong()) + "-"),
                 prober,
+                TargetRateLimits.of(timeline),
                 new ResponseMemory(),
                 counters,
                 random,
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/ForwardingContext.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/ForwardingContext.java
@@ -2,6 +2,7 @@
 
 import java.util.function.IntSupplier;
 import java.util.random.RandomGenerator;
+import org.siskinlead.core.ratelimit.TargetRateLimits;
 import org.siskinlead.core.registry.TargetRegistry;
 import org.siskinlead.core.retry.CrashSuspects;
 import org.siskinlead.core.time.Timers;
@@ -17,6 +18,7 @@
         CrashSuspects suspects,
         CrashWatch crashWatch,
         TargetProber prober,
+        TargetRateLimits rateLimits,
         ResponseMemory responseMemory,
         ForwardingCounters counters,
         RandomGenerator random,
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/TargetResponse.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/TargetResponse.java
@@ -11,6 +11,8 @@
  * @param faultAddress address of another target that this one reports as faulty, empty for none
  * @param load running and waiting requests of the target, negative when not given
  * @param leaving whether the target says that it is about to stop
+ * @param requestsPerSecond rate of requests that the target takes from all daemons together, infinite when it names no
+ *     limit, {@code NaN} when it names one that cannot be read
  * @param retryAfterMillis time for which the target asks not to be sent requests, in milliseconds; 0 when not given
  * @param headers header fields to forward to the caller
  */
@@ -22,8 +24,12 @@
         String faultAddress,
         double load,
         boolean leaving,
+        double requestsPerSecond,
         long retryAfterMillis,
         List<HeaderField> headers) {
+    /** Rate of a target that names no limit. */
+    public static final double UNLIMITED = Double.POSITIVE_INFINITY;
+
     private static final int OK = 200;
     private static final int MULTIPLE_CHOICES = 300;
     private static final int SERVER_ERROR = 500;
--- a/siskinlead-core/src/main/java/org/siskinlead/core/timeline/EventKind.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/timeline/EventKind.java
@@ -14,6 +14,8 @@
     TARGET_RECOVERED,
     /** A target turned a request away and asked not to be sent any for a time. */
     TARGET_BACKOFF,
+    /** A target named a limit on the rate of its requests, changed it or named it no more. */
+    TARGET_RATE_LIMIT,
     TARGET_SLOW,
     /** An engine holds the layers that it was ordered to load. */
     TARGET_PLACED,
--- a/siskinlead-core/src/test/java/org/siskinlead/core/fakes/FakeTargetLink.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/fakes/FakeTargetLink.java
@@ -1,5 +1,7 @@
 package org.siskinlead.core.fakes;
 
+import static org.siskinlead.core.forwarding.TargetResponse.UNLIMITED;
+
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -36,6 +38,8 @@
         public boolean cancelled;
         /** Whether the target says in its answer that it is about to stop. */
         public boolean leaving;
+        /** Limit that the target names in its answer, in requests a second. */
+        public double requestsPerSecond = UNLIMITED;
         /** Time for which the target asks not to be sent requests. */
         public long retryAfterMillis;
 
@@ -59,7 +63,7 @@
         }
 
         public void respondForAnotherRequest() {
-            listener.onHead(new TargetResponse(200, false, true, false, "", -1, false, 0, List.of()));
+            listener.onHead(new TargetResponse(200, false, true, false, "", -1, false, UNLIMITED, 0, List.of()));
         }
 
         public void startStream() {
@@ -85,7 +89,8 @@
         }
 
         private TargetResponse responseHead(int status, boolean notRun, boolean sealed) {
-            return new TargetResponse(status, notRun, sealed, true, "", -1, leaving, retryAfterMillis, List.of());
+            return new TargetResponse(
+                    status, notRun, sealed, true, "", -1, leaving, requestsPerSecond, retryAfterMillis, List.of());
         }
     }
 
--- a/siskinlead-core/src/test/java/org/siskinlead/core/forwarding/EndlessAnswerTest.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/forwarding/EndlessAnswerTest.java
@@ -74,7 +74,8 @@
         RecordedReply reply = bed.send("/stream/x");
         for (int send = 0; send < 2; send++) {
             ReceivedRequest target = bed.link.last();
-            target.listener.onHead(new TargetResponse(400, false, true, true, "", -1, false, 0, List.of()));
+            target.listener.onHead(
+                    new TargetResponse(400, false, true, true, "", -1, false, TargetResponse.UNLIMITED, 0, List.of()));
             for (int i = 0; i < PARTS && !target.cancelled; i++) {
                 target.sendRaw(part);
             }
