Keep the limits that targets name, all daemons together

Ruled out: that each daemon keeps the limit by itself (the log shows that all four had it, and the rate did not change), and that retries, probes or orders make up what is over it (the sends of requests alone do).

A few daemons for each target, chosen by rendezvous hashing over the roster, hold its limit in equal shares, each with a token bucket; the others send it nothing. What they learn is reported in the store. A request that no target can take in time is refused at once with the time after which there is room.

--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/AbstractForwardedCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/AbstractForwardedCall.java
@@ -6,6 +6,7 @@
 import org.jspecify.annotations.Nullable;
 import org.siskinlead.core.crash.Suspect;
 import org.siskinlead.core.forwarding.ForwardingCounters.Count;
+import org.siskinlead.core.ratelimit.TargetRateLimits;
 import org.siskinlead.core.registry.TargetHealth;
 import org.siskinlead.core.serving.Refusal;
 import org.siskinlead.core.serving.RefusalCode;
@@ -124,7 +125,10 @@
             if (response.leaving()) {
                 context.registry().onLeaving(from.target());
             }
-            context.rateLimits().onAnswer(from.target().entry().instanceId(), response.requestsPerSecond());
+        }
+        if (response.isAuthentic() && response.status() != MISDIRECTED_REQUEST) {
+            context.rateLimits()
+                    .onAnswer(from.target().entry().instanceId(), from.sentAt(), response.requestsPerSecond());
         }
         if (response.retryAfterMillis() > 0 && response.status() != MISDIRECTED_REQUEST) {
             beginBackoff(from.target(), response.retryAfterMillis());
@@ -144,16 +148,19 @@
 
     /** Refuses the request if no target can be used within a time; returns whether it did. */
     final boolean refuseIfUnusableFor(long waitMillis) {
-        long unusableMillis = chooser.millisToUse(admitted);
+        long unusableMillis = chooser.millisToUse(admitted, queue.lengthAhead(priority()));
         if (unusableMillis <= waitMillis) {
             return false;
         }
-        String reason = "no target accepts requests for " + unusableMillis + " ms";
+        boolean heldByOthers = unusableMillis >= TargetRateLimits.NEVER;
+        String reason = heldByOthers
+                ? "other daemons hold the rate limits of all targets"
+                : "no target accepts this request for " + unusableMillis + " ms";
         if (sendHistory.mayHaveRun()) {
             giveUp(reason);
         } else {
             long jitter = new RetryAfterJitter(context.random()).drawMillis(admitted.route());
-            refuse(RefusalCode.OVERLOADED, reason, unusableMillis + jitter);
+            refuse(RefusalCode.OVERLOADED, reason, heldByOthers ? jitter : unusableMillis + jitter);
         }
         return true;
     }
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/Attempt.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/Attempt.java
@@ -52,6 +52,11 @@
         return path == null ? target().entry().instanceId().equals(instanceId) : path.containsInstance(instanceId);
     }
 
+    /** Gets the time at which the request was sent, in milliseconds of the monotonic clock. */
+    long sentAt() {
+        return sentAt;
+    }
+
     long elapsedMillis() {
         return context.timers().nowMillis() - sentAt;
     }
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/BufferedCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/BufferedCall.java
@@ -4,9 +4,9 @@
 import java.util.List;
 import java.util.Optional;
 import org.siskinlead.core.catalog.RouteKind;
-import org.siskinlead.core.chains.PathFinder.MemoryCheck;
 import org.siskinlead.core.forwarding.ForwardingCounters.Count;
 import org.siskinlead.core.forwarding.ForwardingCounters.Latency;
+import org.siskinlead.core.forwarding.TargetChooser.CapacityCheck;
 import org.siskinlead.core.registry.TargetHealth;
 import org.siskinlead.core.serving.Refusal;
 import org.siskinlead.core.serving.RefusalCode;
@@ -71,7 +71,7 @@
     @Override
     public boolean trySend() {
         Optional<TargetChooser.Choice> choice =
-                chooser.choose(admitted, sendHistory.excludedInstances(), MemoryCheck.ENFORCED);
+                chooser.choose(admitted, sendHistory.excludedInstances(), CapacityCheck.ENFORCED);
         if (choice.isEmpty()) {
             return false;
         }
@@ -207,7 +207,7 @@
             return;
         }
         sendHistory.exclude(waiting.target().entry().instanceId());
-        boolean hasOtherTarget = chooser.choose(admitted, sendHistory.excludedInstances(), MemoryCheck.ENFORCED)
+        boolean hasOtherTarget = chooser.choose(admitted, sendHistory.excludedInstances(), CapacityCheck.ENFORCED)
                 .isPresent();
         if (hasOtherTarget
                 && context.retryBudget()
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/Forwarder.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/Forwarder.java
@@ -94,6 +94,7 @@
      * @param timeline receives the events of requests
      * @param registry registered targets
      * @param link transport to the targets
+     * @param rateLimits limits that targets have named
      * @param freshness state of the proof that the catalog is recent
      * @param renewProof requests a new proof from the store at once
      * @param budget retry budget of all daemons together
@@ -106,23 +107,25 @@
             Timeline timeline,
             TargetRegistry registry,
             TargetLink link,
+            TargetRateLimits rateLimits,
             Freshness freshness,
             Runnable renewProof,
             RetryBudgetShare.Budget budget,
             IntSupplier daemonCount,
             RandomGenerator random) {
         ForwardingCounters counters = new ForwardingCounters();
-        TargetProber prober = new TargetProber(timers, timeline, registry, link, counters, daemonCount);
+        TargetLink metered = MeteredTargetLink.of(link, rateLimits);
+        TargetProber prober = new TargetProber(timers, timeline, registry, metered, counters, daemonCount);
         ForwardingContext context = new ForwardingContext(
                 timers,
                 timeline,
                 registry,
-                link,
+                metered,
                 RetryBudgetShare.of(budget, daemonCount, timers),
                 CrashSuspects.of(timers),
                 new CrashWatch(timers, timeline, Long.toHexString(random.nextLong()) + "-"),
                 prober,
-                TargetRateLimits.of(timeline),
+                rateLimits,
                 new ResponseMemory(),
                 counters,
                 random,
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/RequestQueue.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/RequestQueue.java
@@ -47,6 +47,11 @@
         return queue.size();
     }
 
+    /** Counts the queued requests that are served before a new one with a priority. */
+    int lengthAhead(int priority) {
+        return (int) queue.stream().filter(e -> e.priority() <= priority).count();
+    }
+
     /** Estimates from the current rate of sends whether one more request would wait longer than the given time. */
     boolean wouldExceedWait(long waitMillis) {
         double rate = Math.max(sentInWindow, sentInPreviousWindow) / (double) RATE_WINDOW_MS;
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamingCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamingCall.java
@@ -7,9 +7,9 @@
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.siskinlead.core.chains.HopPath;
-import org.siskinlead.core.chains.PathFinder.MemoryCheck;
 import org.siskinlead.core.forwarding.ForwardingCounters.Count;
 import org.siskinlead.core.forwarding.ForwardingCounters.Latency;
+import org.siskinlead.core.forwarding.TargetChooser.CapacityCheck;
 import org.siskinlead.core.registry.TargetHealth;
 import org.siskinlead.core.serving.Refusal;
 import org.siskinlead.core.serving.RefusalCode;
@@ -74,7 +74,7 @@
             return;
         }
         long objectiveMillis = admitted.route().latencyObjectiveMillis();
-        boolean pathExists = chooser.choose(admitted, sendHistory.excludedInstances(), MemoryCheck.SKIPPED)
+        boolean pathExists = chooser.choose(admitted, sendHistory.excludedInstances(), CapacityCheck.SKIPPED)
                 .isPresent();
         long waitMillis = isRetryOrResume()
                 ? RETRY_WAIT_MS
@@ -109,7 +109,7 @@
     @Override
     public boolean trySend() {
         Optional<TargetChooser.Choice> choice =
-                chooser.choose(admitted, sendHistory.excludedInstances(), MemoryCheck.ENFORCED);
+                chooser.choose(admitted, sendHistory.excludedInstances(), CapacityCheck.ENFORCED);
         if (choice.isEmpty()) {
             return false;
         }
@@ -392,7 +392,7 @@
         String instanceId = current.target().entry().instanceId();
         Set<String> excluded = new HashSet<>(sendHistory.excludedInstances());
         excluded.add(instanceId);
-        if (chooser.choose(admitted, excluded, MemoryCheck.ENFORCED).isEmpty()
+        if (chooser.choose(admitted, excluded, CapacityCheck.ENFORCED).isEmpty()
                 || !context.retryBudget().tryAcquire(admitted.service().name(), retryPurpose())) {
             return;
         }
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/TargetChooser.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/TargetChooser.java
@@ -10,13 +10,28 @@
 import org.siskinlead.core.chains.LoadScale;
 import org.siskinlead.core.chains.PathFinder;
 import org.siskinlead.core.chains.PathFinder.MemoryCheck;
+import org.siskinlead.core.ratelimit.TargetRateLimits;
 import org.siskinlead.core.registry.TargetHealth;
+import org.siskinlead.core.routing.LayerRange;
 
 /** Chooses a target, or a path of targets through all layers of a model, for a request. */
 final class TargetChooser {
     /** Maximum random increase of a cost, as a fraction, so that daemons do not all choose the same target. */
     private static final double COST_JITTER = 0.3;
 
+    /** Whether a target must have capacity for the request now. */
+    enum CapacityCheck {
+        ENFORCED,
+        SKIPPED
+    }
+
+    /** Age of a limit after which a request is sent to ask for it. */
+    private static final long ASK_FOR_LIMIT_AFTER_MS = 5_000;
+    /** Largest cost of a choice that asks for a limit, as a multiple of the lowest one. */
+    private static final double MAX_ASK_COST = 2;
+    /** Age up to which a limit binds the use of an engine behind the first one, whose answers are not seen. */
+    private static final long INNER_LIMIT_VALID_MS = 30_000;
+
     private final ForwardingContext context;
 
     TargetChooser(ForwardingContext context) {
@@ -24,43 +39,105 @@
     }
 
     /** The target to which a request is sent, and for model engines the path that starts there. */
-    record Choice(TargetHealth target, @Nullable HopPath path) {}
+    record Choice(TargetHealth target, @Nullable HopPath path) {
+        double cost() {
+            return path == null ? target.cost() : path.cost();
+        }
+    }
 
     /**
      * Chooses the target or path with the least cost.
      * @param request the request
      * @param excludedInstances target instances to which the request must not be sent
-     * @param memoryCheck whether the request must fit in the free memory of the targets
+     * @param check whether the targets must have free memory, and their limits leave room, for the request
      * @return the choice, empty when no target or path is usable
      */
-    Optional<Choice> choose(AdmittedRequest request, Set<String> excludedInstances, MemoryCheck memoryCheck) {
+    Optional<Choice> choose(AdmittedRequest request, Set<String> excludedInstances, CapacityCheck check) {
         List<TargetHealth> usable = new ArrayList<>();
         for (TargetHealth target : context.registry().of(request.service().name())) {
-            if (target.isUsable() && !excludedInstances.contains(target.entry().instanceId())) {
+            if (target.isUsable()
+                    && !excludedInstances.contains(target.entry().instanceId())
+                    && (check == CapacityCheck.SKIPPED || limitLeavesRoom(request, target))) {
                 usable.add(target);
             }
         }
+        Optional<Choice> best = cheapest(request, usable, check);
+        return check == CapacityCheck.SKIPPED ? best : askForLimit(request, usable, best);
+    }
+
+    /**
+     * Chooses a target whose limit was named long ago, so that its next answer tells whether it still has one, unless
+     * that costs the request much more than the best choice.
+     */
+    private Optional<Choice> askForLimit(AdmittedRequest request, List<TargetHealth> usable, Optional<Choice> best) {
+        List<TargetHealth> stale = usable.stream()
+                .filter(t -> canBeFirst(request, t)
+                        && context.rateLimits().ageMillis(t.entry().instanceId()) > ASK_FOR_LIMIT_AFTER_MS)
+                .toList();
+        if (stale.isEmpty()) {
+            return best;
+        }
+        TargetHealth target = stale.get(context.random().nextInt(stale.size()));
+        List<TargetHealth> startingThere = usable.stream()
+                .filter(t -> t == target || !canBeFirst(request, t))
+                .toList();
+        return cheapest(request, startingThere, CapacityCheck.ENFORCED)
+                .filter(asked -> best.isEmpty()
+                        || asked.cost() <= MAX_ASK_COST * best.get().cost())
+                .or(() -> best);
+    }
+
+    private Optional<Choice> cheapest(AdmittedRequest request, List<TargetHealth> usable, CapacityCheck check) {
         EngineSpec engine = request.service().engine();
-        if (engine != null) {
-            return PathFinder.of(
-                            engine, LoadScale.of(usable, context.daemonCount().getAsInt()))
-                    .find(usable, request.expectedTokens(), memoryCheck)
-                    .map(path -> new Choice(path.first().target(), path));
+        if (engine == null) {
+            return leastCost(usable).map(target -> new Choice(target, null));
         }
-        return leastCost(usable).map(target -> new Choice(target, null));
+        MemoryCheck memoryCheck = check == CapacityCheck.ENFORCED ? MemoryCheck.ENFORCED : MemoryCheck.SKIPPED;
+        return PathFinder.of(engine, LoadScale.of(usable, context.daemonCount().getAsInt()))
+                .find(usable, request.expectedTokens(), memoryCheck)
+                .map(path -> new Choice(path.first().target(), path));
+    }
+
+    /** Tells whether the limit of a target lets this daemon send it a request now. */
+    private boolean limitLeavesRoom(AdmittedRequest request, TargetHealth target) {
+        String instanceId = target.entry().instanceId();
+        return context.rateLimits().millisToSend(instanceId) == 0
+                || (!canBeFirst(request, target) && context.rateLimits().ageMillis(instanceId) > INNER_LIMIT_VALID_MS);
+    }
+
+    /** Tells whether a target can be the one that answers the request, so that its answers name its limit. */
+    private static boolean canBeFirst(AdmittedRequest request, TargetHealth target) {
+        LayerRange layers = target.entry().layers();
+        return request.service().engine() == null || (layers != null && layers.from() == 0);
     }
 
     /**
-     * Gets the shortest time until a target of the service may be used.
+     * Estimates the time until a target of the service may be sent a request, by what the targets have asked for: to be
+     * left alone, or to get no more than a number of requests a second. Only targets that can be first on a path count.
      * @param request the request
-     * @return milliseconds; 0 when one may be used now, or none is in service
+     * @param ahead number of queued requests that will be sent before this one
+     * @return milliseconds; 0 when one may be used now, or none is in service; {@link TargetRateLimits#NEVER} when the
+     *     limits of all of them are held by other daemons
      */
-    long millisToUse(AdmittedRequest request) {
-        return context.registry().of(request.service().name()).stream()
-                .filter(TargetHealth::isAvailable)
-                .mapToLong(TargetHealth::millisToUse)
-                .min()
-                .orElse(0);
+    long millisToUse(AdmittedRequest request, int ahead) {
+        List<TargetHealth> available = context.registry().of(request.service().name()).stream()
+                .filter(t -> t.isAvailable() && canBeFirst(request, t))
+                .toList();
+        long earliest = available.isEmpty() ? 0 : TargetRateLimits.NEVER;
+        double perMilli = 0;
+        for (TargetHealth target : available) {
+            String instanceId = target.entry().instanceId();
+            long toSend = context.rateLimits().millisToSend(instanceId);
+            earliest = Math.min(earliest, Math.max(target.millisToUse(), toSend));
+            if (Double.isInfinite(context.rateLimits().perSecond(instanceId))) {
+                perMilli = Double.POSITIVE_INFINITY;
+            } else if (toSend < TargetRateLimits.NEVER) {
+                long toNext = context.rateLimits().millisToSend(instanceId, 2);
+                perMilli += toNext > toSend ? 1.0 / (toNext - toSend) : 0;
+            }
+        }
+        boolean sharesRoom = perMilli > 0 && earliest < TargetRateLimits.NEVER;
+        return sharesRoom ? earliest + Math.round(ahead / perMilli) : earliest;
     }
 
     private Optional<TargetHealth> leastCost(List<TargetHealth> usable) {
--- a/siskinlead-core/src/main/java/org/siskinlead/core/gateway/Gateway.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/gateway/Gateway.java
@@ -1,5 +1,6 @@
 package org.siskinlead.core.gateway;
 
+import java.util.Collection;
 import java.util.List;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
@@ -7,12 +8,15 @@
 import org.siskinlead.core.catalog.Catalog;
 import org.siskinlead.core.crash.CrashReports;
 import org.siskinlead.core.forwarding.Forwarder;
+import org.siskinlead.core.forwarding.MeteredTargetLink;
 import org.siskinlead.core.forwarding.RetryBudgetShare;
 import org.siskinlead.core.forwarding.TargetLink;
 import org.siskinlead.core.freshness.Freshness;
 import org.siskinlead.core.placement.LayerOrderSender;
 import org.siskinlead.core.placement.LayerPlacementController;
 import org.siskinlead.core.platform.LeaseStore;
+import org.siskinlead.core.ratelimit.RateLimitReports;
+import org.siskinlead.core.ratelimit.TargetRateLimits;
 import org.siskinlead.core.registry.TargetRegistry;
 import org.siskinlead.core.roster.Roster;
 import org.siskinlead.core.roster.RosterEntry;
@@ -45,6 +49,8 @@
     private final Roster roster;
     private final Forwarder forwarder;
     private final CrashReports crashReports;
+    private final TargetRateLimits rateLimits;
+    private final RateLimitReports rateLimitReports;
     private Consumer<Catalog> catalogListener = catalog -> {};
     private boolean listening;
     private boolean draining;
@@ -81,11 +87,16 @@
         this.freshness = Freshness.of(timers, settings.maxProofAgeMillis());
         this.registry = TargetRegistry.of(timers, timeline);
         this.roster = Roster.start(self, ports.store(), timers, timeline);
+        this.rateLimits = TargetRateLimits.of(
+                self.vm(), () -> roster.entries().stream().map(RosterEntry::vm).toList(), timers, timeline);
+        this.rateLimitReports = RateLimitReports.of(
+                rateLimits, ports.store(), timers, ports.random(), roster::size, registry::isRegistered);
         this.forwarder = Forwarder.of(
                 timers,
                 timeline,
                 registry,
                 ports.link(),
+                rateLimits,
                 freshness,
                 ports.renewProof(),
                 settings.retries(),
@@ -104,8 +115,11 @@
         LayerPlacementController.start(
                 () -> forwarder.catalog().orElse(null),
                 registry,
-                ports.link(),
-                ports.orders(),
+                MeteredTargetLink.of(ports.link(), rateLimits),
+                (target, expectedOrderCount, layers, onAnswer) -> {
+                    rateLimits.onSent(target.instanceId());
+                    ports.orders().sendOrder(target, expectedOrderCount, layers, onAnswer);
+                },
                 roster::mayIssueOrders,
                 timers,
                 timeline);
@@ -141,6 +155,14 @@
         return registry;
     }
 
+    /**
+     * Returns the limits that targets have named on the rate of their requests.
+     * @return the limits
+     */
+    public TargetRateLimits rateLimits() {
+        return rateLimits;
+    }
+
     /**
      * Returns the roster of serving daemons.
      * @return the roster
@@ -241,6 +263,8 @@
     public void onKeyPresent(String key, byte[] value, long heldBy, Roster.Discovery discovery) {
         if (key.startsWith(CrashReports.PREFIX)) {
             crashReports.onKeyPresent(key, value);
+        } else if (key.startsWith(RateLimitReports.PREFIX)) {
+            rateLimitReports.onKeyPresent(key, value);
         } else {
             roster.onKeyPresent(key, value, heldBy, discovery);
         }
@@ -253,11 +277,22 @@
     public void onKeyRemoved(String key) {
         if (key.startsWith(CrashReports.PREFIX)) {
             crashReports.onKeyRemoved(key);
+        } else if (key.startsWith(RateLimitReports.PREFIX)) {
+            rateLimitReports.onKeyRemoved(key);
         } else {
             roster.onKeyRemoved(key);
         }
     }
 
+    /**
+     * Removes all keys but the listed ones, after a full listing.
+     * @param keys all keys below {@link Roster#PREFIX} that exist
+     */
+    public void retainKeys(Collection<String> keys) {
+        roster.retainKeys(keys);
+        rateLimitReports.retainKeys(keys);
+    }
+
     /**
      * Records that the store has confirmed everything that was read from it.
      * @param sent when the confirming call was sent
@@ -294,6 +329,7 @@
         onStoreLost("it was restored from an older snapshot");
         roster.onStoreRestored();
         crashReports.onStoreRestored();
+        rateLimitReports.onStoreRestored();
     }
 
     /**
--- a/siskinlead-core/src/main/java/org/siskinlead/core/registry/TargetRegistry.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/registry/TargetRegistry.java
@@ -95,6 +95,15 @@
                 .findFirst();
     }
 
+    /**
+     * Checks whether an instance of a target is registered.
+     * @param instanceId the instance
+     * @return false once its entry was removed or another instance has its id
+     */
+    public boolean isRegistered(String instanceId) {
+        return byId.values().stream().anyMatch(t -> t.entry().instanceId().equals(instanceId));
+    }
+
     // Commands
 
     /**
--- a/siskinlead-core/src/test/java/org/siskinlead/core/fakes/FakeLeaseStore.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/fakes/FakeLeaseStore.java
@@ -77,7 +77,7 @@
                 gateway.onKeyRemoved(key);
             }
         });
-        gateway.roster().retainKeys(items.keySet());
+        gateway.retainKeys(items.keySet());
     }
 
     /** Loses everything, as if restored from a snapshot taken before the first write; leases are numbered from 1 again. */
--- a/siskinlead-core/src/test/java/org/siskinlead/core/fakes/ForwardingTestBed.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/fakes/ForwardingTestBed.java
@@ -16,6 +16,7 @@
 import org.siskinlead.core.forwarding.IncomingRequest;
 import org.siskinlead.core.forwarding.RetryBudgetShare;
 import org.siskinlead.core.freshness.Freshness;
+import org.siskinlead.core.ratelimit.TargetRateLimits;
 import org.siskinlead.core.registry.RegisteredTarget;
 import org.siskinlead.core.registry.TargetRegistry;
 import org.siskinlead.core.routing.LayerRange;
@@ -31,6 +32,7 @@
     public final Timeline timeline = Timeline.of("vm", HybridClock.of(timers::wallMillis), event -> {});
     public final TargetRegistry registry = TargetRegistry.of(timers, timeline);
     public final FakeTargetLink link = new FakeTargetLink(timers);
+    public final TargetRateLimits rateLimits = TargetRateLimits.of("vm", List::of, timers, timeline);
     public final Freshness freshness = Freshness.of(timers, MAX_PROOF_AGE_MS);
     public final List<String> published = new ArrayList<>();
     public final Forwarder forwarder;
@@ -43,6 +45,7 @@
                 timeline,
                 registry,
                 link,
+                rateLimits,
                 freshness,
                 () -> renewalCount++,
                 new RetryBudgetShare.Budget(0.2, 40, 10_000),
--- a/siskinlead-core/src/test/java/org/siskinlead/core/fakes/RateLimitFleet.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/fakes/RateLimitFleet.java
@@ -34,6 +34,7 @@
     public final Map<String, List<Long>> arrivals = new HashMap<>();
     public final List<Asked> asked = new ArrayList<>();
     private final Map<String, Double> perSecondByEngine = new HashMap<>();
+    private final Map<String, Long> firstNamedAt = new HashMap<>();
     private final Random random;
     private final int engines;
     private int nextRequest;
@@ -176,6 +177,9 @@
             timers.after(READ_MS, () -> {
                 if (!request.cancelled && !daemon.stopped) {
                     request.requestsPerSecond = perSecondByEngine.getOrDefault(engine, TargetResponse.UNLIMITED);
+                    if (!Double.isInfinite(request.requestsPerSecond)) {
+                        firstNamedAt.putIfAbsent(engine, timers.nowMillis());
+                    }
                     request.startStream();
                     write(request, 1);
                 }
@@ -195,6 +199,11 @@
         timers.after(EVENT_INTERVAL_MS, () -> write(request, event + 1));
     }
 
+    /** Gets the time at which an engine first named a limit in an answer; far in the future if it has not. */
+    public long firstNamedAt(int engine) {
+        return firstNamedAt.getOrDefault("e" + engine, Long.MAX_VALUE / 2);
+    }
+
     /** Counts the requests that reached an engine from a time until before another. */
     public long arrivalsBetween(int engine, long from, long to) {
         return arrivals.getOrDefault("e" + engine, List.of()).stream()
--- a/siskinlead-core/src/test/java/org/siskinlead/core/forwarding/ForwarderTest.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/forwarding/ForwarderTest.java
@@ -8,6 +8,7 @@
 import org.siskinlead.core.fakes.FakeTargetLink;
 import org.siskinlead.core.fakes.ForwardingTestBed;
 import org.siskinlead.core.fakes.RecordedReply;
+import org.siskinlead.core.ratelimit.TargetRateLimits;
 import org.siskinlead.core.serving.RefusalCode;
 import org.siskinlead.core.serving.RequestOutcome;
 
@@ -86,6 +87,7 @@
                 empty.timeline,
                 empty.registry,
                 empty.link,
+                TargetRateLimits.of("vm", List::of, empty.timers, empty.timeline),
                 empty.freshness,
                 () -> {},
                 new RetryBudgetShare.Budget(0.2, 40, 10_000),
