Random schedules of limits that targets name

Findings of the test itself: a daemon that is cut was excused for 3 s only, the fake store told of expired leases while it was down, and a daemon counted as told of a lowered limit by its answer with the earlier one.

--- a/siskinlead-core/src/test/java/org/siskinlead/core/fakes/RateLimitFleet.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/fakes/RateLimitFleet.java
@@ -10,6 +10,7 @@
 import org.siskinlead.core.forwarding.TargetResponse;
 import org.siskinlead.core.freshness.Freshness;
 import org.siskinlead.core.gateway.Gateway;
+import org.siskinlead.core.roster.Roster;
 import org.siskinlead.core.roster.RosterEntry;
 import org.siskinlead.core.routing.LayerRange;
 import org.siskinlead.core.timeline.HybridClock;
@@ -32,6 +33,7 @@
     public final FakeLeaseStore store = new FakeLeaseStore(timers);
     public final List<Daemon> daemons = new ArrayList<>();
     public final Map<String, List<Long>> arrivals = new HashMap<>();
+    public final RateLimitRule rule = new RateLimitRule();
     public final List<Asked> asked = new ArrayList<>();
     private final Map<String, Double> perSecondByEngine = new HashMap<>();
     private final Map<String, Long> firstNamedAt = new HashMap<>();
@@ -43,12 +45,13 @@
     /** Daemons that callers use, from the first one; all by default. */
     public int daemonsInUse;
 
-    /** One daemon of the fleet. */
-    public static final class Daemon {
+    /** One daemon of the fleet. What it hears of the store while it does not reach it arrives afterwards. */
+    public final class Daemon implements FakeLeaseStore.Watcher {
         public final String vm;
         public final Gateway gateway;
         public final FakeLeaseStore.Client storeClient;
         private final FakeTargetLink link;
+        private final List<Runnable> missedChanges = new ArrayList<>();
         private int started;
         private boolean stopped;
 
@@ -58,6 +61,42 @@
             this.storeClient = storeClient;
             this.link = link;
         }
+
+        private boolean reachesStore() {
+            return !storeClient.disconnected && store.mode == FakeLeaseStore.Mode.WORKING;
+        }
+
+        @Override
+        public void onKeyPresent(String key, byte[] value, long lease, Roster.Discovery discovery) {
+            onChange(() -> gateway.onKeyPresent(key, value, lease, discovery));
+        }
+
+        @Override
+        public void onKeyRemoved(String key) {
+            onChange(() -> gateway.onKeyRemoved(key));
+        }
+
+        private void onChange(Runnable change) {
+            if (reachesStore() && missedChanges.isEmpty()) {
+                change.run();
+            } else {
+                missedChanges.add(change);
+            }
+        }
+
+        private void hearOfStore() {
+            if (stopped) {
+                return;
+            }
+            if (!reachesStore()) {
+                gateway.onStoreLost("unreachable");
+                return;
+            }
+            List<Runnable> missed = List.copyOf(missedChanges);
+            missedChanges.clear();
+            gateway.onProof(Freshness.ClockReading.now(timers));
+            missed.forEach(Runnable::run);
+        }
     }
 
     /**
@@ -93,17 +132,20 @@
         for (int i = 0; i < engines; i++) {
             gateway.registry().register(Fleets.engine("e" + i, "east", "big", new LayerRange(0, 80)));
         }
-        store.attach(gateway);
+        Daemon daemon = new Daemon(vm, gateway, client, link);
+        store.attach(daemon);
+        gateway.retainKeys(store.keys());
         gateway.onCatalog(ForwardingTestBed.catalog(1, java.util.Set.of(ForwardingTestBed.KEY)));
         gateway.onProof(Freshness.ClockReading.now(timers));
         gateway.onListening();
-        return new Daemon(vm, gateway, client, link);
+        return daemon;
     }
 
     /** Stops a daemon without notice: its lease expires and its requests end. */
     public void stop(int index) {
         Daemon daemon = daemons.get(index);
         daemon.stopped = true;
+        rule.onDisturbed(daemon.vm, timers.nowMillis());
         daemon.storeClient.disconnected = true;
         daemon.gateway.forwarder().terminateAll("stopped");
     }
@@ -111,11 +153,23 @@
     /** Starts a stopped daemon as a new process, which knows only what the store holds. */
     public void start(int index) {
         daemons.set(index, startDaemon(daemons.get(index).vm));
+        rule.onDisturbed(daemons.get(index).vm, timers.nowMillis());
+    }
+
+    /** Cuts a daemon off from the store, or ends that. */
+    public void cutFromStore(int index, boolean cut) {
+        daemons.get(index).storeClient.disconnected = cut;
+        rule.onCut(daemons.get(index).vm, cut, timers.nowMillis());
+    }
+
+    public boolean isStopped(int index) {
+        return daemons.get(index).stopped;
     }
 
     /** Lets an engine name a limit from now on, in requests a second; {@link TargetResponse#UNLIMITED} for none. */
     public void limit(int engine, double perSecond) {
         perSecondByEngine.put("e" + engine, perSecond);
+        rule.onLimit("e" + engine, timers.nowMillis(), perSecond);
     }
 
     public void limitAll(double perSecond) {
@@ -145,7 +199,7 @@
     }
 
     private void proveAll() {
-        daemons.stream().filter(d -> !d.stopped).forEach(d -> d.gateway.onProof(Freshness.ClockReading.now(timers)));
+        daemons.forEach(Daemon::hearOfStore);
     }
 
     private void ask() {
@@ -174,11 +228,13 @@
             FakeTargetLink.ReceivedRequest request = daemon.link.received.get(daemon.started++);
             String engine = request.dispatch.target().id();
             arrivals.computeIfAbsent(engine, e -> new ArrayList<>()).add(timers.nowMillis());
+            rule.onArrival(engine, daemon.vm, timers.nowMillis());
             timers.after(READ_MS, () -> {
                 if (!request.cancelled && !daemon.stopped) {
                     request.requestsPerSecond = perSecondByEngine.getOrDefault(engine, TargetResponse.UNLIMITED);
                     if (!Double.isInfinite(request.requestsPerSecond)) {
                         firstNamedAt.putIfAbsent(engine, timers.nowMillis());
+                        rule.onTold(engine, daemon.vm, timers.nowMillis());
                     }
                     request.startStream();
                     write(request, 1);
