--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/Forwarder.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/Forwarder.java
@@ -192,6 +192,10 @@
      */
     public void onCatalog(Catalog newer) {
         if (catalog != null && newer.version() <= catalog.version()) {
+            if (newer.version() < catalog.version()) {
+                timeline.record(
+                        EventKind.CONFIGURATION_OLDER, "revision", newer.version(), "inForce", catalog.version());
+            }
             return;
         }
         catalog = newer;
--- a/siskinlead-core/src/main/java/org/siskinlead/core/timeline/EventKind.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/timeline/EventKind.java
@@ -25,6 +25,8 @@
     CONFIGURATION_PROPOSED,
     CONFIGURATION_ACCEPTED,
     CONFIGURATION_IN_FORCE,
+    /** The store holds an older configuration than the one in force, as after it was restored; it is not put in force. */
+    CONFIGURATION_OLDER,
     /** The daemon became active: it is a member, has loaded its configuration and holds a quorum lease. */
     STANDING_GAINED,
     /** The daemon is no longer active. */
