Believe a reported limit more than an answer without one

The trace: a target ended its limit and named another; a daemon whose last answer, 0.3 s before the report of the new limit, had none took that answer for the newer evidence and removed the key, and so all others forgot the limit; then callers returned after a quiet time. Only an answer that named the limit counts for more than a report now; a daemon that believes a limit that has ended learns so from its next answer. TargetRateLimitsTest.believesAReportMoreThanAnAnswerWithoutLimit failed before.

--- a/siskinlead-core/src/main/java/org/siskinlead/core/ratelimit/TargetRateLimits.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/ratelimit/TargetRateLimits.java
@@ -22,7 +22,7 @@
 
     /** Interval at which the shares follow the roster. */
     private static final long ROSTER_CHECK_INTERVAL_MS = 200;
-    /** Time for which an answer of the target counts for more than what another daemon reports. */
+    /** Time for which an answer that named the limit counts for more than what another daemon reports. */
     private static final long OWN_ANSWER_PRECEDENCE_MS = 2_000;
     /** Relative change of a limit that is recorded and reported to the other daemons. */
     private static final double RECORDED_CHANGE = 0.05;
@@ -50,7 +50,7 @@
         private double perSecond = Double.POSITIVE_INFINITY;
         private double recordedPerSecond = Double.POSITIVE_INFINITY;
         private long learnedAt;
-        private long answeredAt = Long.MIN_VALUE / 2;
+        private long namedAt = Long.MIN_VALUE / 2;
         private boolean held;
         private double sharePerSecond;
         private @Nullable TokenBucket bucket;
@@ -183,8 +183,8 @@
         if (!named && sentAt < limit.learnedAt) {
             return;
         }
-        limit.answeredAt = timers.nowMillis();
         if (named) {
+            limit.namedAt = timers.nowMillis();
             limit.learnedAt = timers.nowMillis();
         }
         if (change(instanceId, limit, perSecond, "answer")) {
@@ -193,7 +193,8 @@
     }
 
     /**
-     * Handles the limit that another daemon reports; an answer that this daemon has just had counts for more.
+     * Handles the limit that another daemon reports. An answer with a limit that this daemon has just had counts for more;
+     * one without a limit does not, since it may be older than the report.
      * @param instanceId the target's instance
      * @param perSecond requests a second that the target takes from all daemons together, infinite when it has no limit
      */
@@ -203,7 +204,7 @@
             return;
         }
         Limit limit = known == null ? limits.computeIfAbsent(instanceId, id -> new Limit()) : known;
-        if (timers.nowMillis() - limit.answeredAt < OWN_ANSWER_PRECEDENCE_MS) {
+        if (timers.nowMillis() - limit.namedAt < OWN_ANSWER_PRECEDENCE_MS) {
             changeListener.accept(instanceId);
             return;
         }
--- a/siskinlead-core/src/test/java/org/siskinlead/core/ratelimit/TargetRateLimitsTest.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/ratelimit/TargetRateLimitsTest.java
@@ -119,6 +119,22 @@
         assertThat(limits.limitedInstances()).isEmpty();
     }
 
+    // Guards against a limit being withdrawn by a daemon that has not heard of it yet.
+    @Test
+    void believesAReportMoreThanAnAnswerWithoutLimit() {
+        List<String> changed = new ArrayList<>();
+        answer(5);
+        timers.advance(5_000);
+        answer(NONE);
+        limits.setChangeListener(changed::add);
+        timers.advance(100);
+        answer(NONE);
+        limits.onReport(TARGET, 3);
+
+        assertThat(limits.perSecond(TARGET)).isEqualTo(3);
+        assertThat(changed).isEmpty();
+    }
+
     @Test
     void hasNoShareOfALimitThatOtherDaemonsHold() {
         for (int i = 1; i < 38; i++) {
