Believe the lower of a limit just heard and a report

The trace: a target lowered its limit from 11.2 to 0.02 a second; eight of twelve daemons heard it; one that had heard only the earlier one, within the 2 s in which its own answer counts for more, reported 11.2 again, and all others followed it; then callers returned after a quiet time. Which of two claims is newer cannot be known, so the lower one counts until the next answer. TargetRateLimitsTest.believesTheLowerOfALimitOfItsOwnAndAReport failed before.

--- a/siskinlead-core/src/main/java/org/siskinlead/core/ratelimit/TargetRateLimits.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/ratelimit/TargetRateLimits.java
@@ -22,7 +22,7 @@
 
     /** Interval at which the shares follow the roster. */
     private static final long ROSTER_CHECK_INTERVAL_MS = 200;
-    /** Time for which an answer that named the limit counts for more than what another daemon reports. */
+    /** Time for which an answer that named the limit counts for more than a report of a higher one, or of its end. */
     private static final long OWN_ANSWER_PRECEDENCE_MS = 2_000;
     /** Relative change of a limit that is recorded and reported to the other daemons. */
     private static final double RECORDED_CHANGE = 0.05;
@@ -193,8 +193,8 @@
     }
 
     /**
-     * Handles the limit that another daemon reports. An answer with a limit that this daemon has just had counts for more;
-     * one without a limit does not, since it may be older than the report.
+     * Handles the limit that another daemon reports. Which of a report and an answer is older is not known, so the lower limit
+     * counts while an answer with one is recent; the next answer corrects it.
      * @param instanceId the target's instance
      * @param perSecond requests a second that the target takes from all daemons together, infinite when it has no limit
      */
@@ -204,7 +204,8 @@
             return;
         }
         Limit limit = known == null ? limits.computeIfAbsent(instanceId, id -> new Limit()) : known;
-        if (timers.nowMillis() - limit.namedAt < OWN_ANSWER_PRECEDENCE_MS) {
+        boolean namedRecently = timers.nowMillis() - limit.namedAt < OWN_ANSWER_PRECEDENCE_MS;
+        if (namedRecently && perSecond > limit.perSecond) {
             changeListener.accept(instanceId);
             return;
         }
--- a/siskinlead-core/src/test/java/org/siskinlead/core/fakes/RateLimitFleet.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/fakes/RateLimitFleet.java
@@ -162,6 +162,15 @@
         rule.onCut(daemons.get(index).vm, cut, timers.nowMillis());
     }
 
+    /** Restores the store from a copy without keys; each daemon notices when it reaches the store. */
+    public void restoreStore() {
+        store.restoreEmpty();
+        daemons.forEach(d -> d.onChange(() -> {
+            d.gateway.onStoreRestored();
+            d.gateway.retainKeys(store.keys());
+        }));
+    }
+
     public boolean isStopped(int index) {
         return daemons.get(index).stopped;
     }
--- a/siskinlead-core/src/test/java/org/siskinlead/core/ratelimit/RandomRateLimitTest.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/ratelimit/RandomRateLimitTest.java
@@ -16,7 +16,7 @@
 
 /**
  * Simulates several daemons whose targets name limits that change, end and return, while daemons stop, start and are cut
- * from the store, the store is down, and callers come in surges; checks the users' rule. {@code -DrateLimitRuns=N
+ * from the store, the store is down or restored from an empty copy, and callers come in surges; checks the users' rule. {@code -DrateLimitRuns=N
  * -Dseed=S} selects the number of runs and another set of them.
  */
 class RandomRateLimitTest {
@@ -54,7 +54,7 @@
         fleet.rate = MAX_RATE * random.nextDouble();
         fleet.run(2_000);
         for (int step = 0; step < STEPS; step++) {
-            switch (random.nextInt(8)) {
+            switch (random.nextInt(9)) {
                 case 0, 1 -> fleet.limit(random.nextInt(engines), MAX_LIMIT * Math.pow(random.nextDouble(), 2));
                 case 2 -> fleet.limitAll(MAX_LIMIT * Math.pow(random.nextDouble(), 2));
                 case 3 -> fleet.limit(random.nextInt(engines), TargetResponse.UNLIMITED);
@@ -64,6 +64,7 @@
                     fleet.rate = MAX_RATE * random.nextDouble();
                 }
                 case 5 -> stopOrStart(fleet, random.nextInt(daemons));
+                case 8 -> fleet.restoreStore();
                 case 6 -> fleet.cutFromStore(random.nextInt(daemons), random.nextBoolean());
                 default ->
                     fleet.store.mode =
--- a/siskinlead-core/src/test/java/org/siskinlead/core/ratelimit/TargetRateLimitsTest.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/ratelimit/TargetRateLimitsTest.java
@@ -135,6 +135,21 @@
         assertThat(changed).isEmpty();
     }
 
+    // Guards against a limit that was lowered being raised again by a daemon that has heard of the earlier one only.
+    @Test
+    void believesTheLowerOfALimitOfItsOwnAndAReport() {
+        List<String> changed = new ArrayList<>();
+        answer(5);
+        limits.setChangeListener(changed::add);
+        limits.onReport(TARGET, 1);
+        assertThat(limits.perSecond(TARGET)).isEqualTo(1);
+        assertThat(changed).isEmpty();
+
+        limits.onReport(TARGET, 5);
+        assertThat(limits.perSecond(TARGET)).isEqualTo(1);
+        assertThat(changed).containsExactly(TARGET);
+    }
+
     @Test
     void hasNoShareOfALimitThatOtherDaemonsHold() {
         for (int i = 1; i < 38; i++) {
