Take the configuration of a restored store for the newest one only once somebody vouches for it

Two faults found by tests over real sockets: a daemon that started between the store's return from a copy and the operator's next write was ready with the copy's configuration, so a withdrawn key would have worked there; and a daemon that had missed the last change before the outage proved its configuration by the copy, although another had the newer one in force. Ruled out: late answers of the old era, and readings that another return interrupts.

Cause: an answer proves that nothing newer is in the store, not that nothing newer was confirmed. A mark in the store names the era in which a daemon last vouched for the configuration, and its version; a copy has the mark of an earlier era. Two of the four tests of RestoredStoreTest fail without the guard.

--- a/siskinlead-core/src/main/java/org/siskinlead/core/freshness/Freshness.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/freshness/Freshness.java
@@ -72,6 +72,11 @@
 
     // Commands
 
+    /** Withdraws the last proof, because what it confirmed has turned out not to be the newest. */
+    public void withdrawProof() {
+        hasProof = false;
+    }
+
     /**
      * Records a proof. A call during which a clock jumped is ignored, and so is one sent before the last proof's.
      * @param sent clock reading when the confirmed call was sent
--- a/siskinlead-core/src/main/java/org/siskinlead/core/gateway/Gateway.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/gateway/Gateway.java
@@ -11,6 +11,7 @@
 import org.siskinlead.core.forwarding.MeteredTargetLink;
 import org.siskinlead.core.forwarding.RetryBudgetShare;
 import org.siskinlead.core.forwarding.TargetLink;
+import org.siskinlead.core.freshness.EraGuard;
 import org.siskinlead.core.freshness.Freshness;
 import org.siskinlead.core.placement.LayerOrderSender;
 import org.siskinlead.core.placement.LayerPlacementController;
@@ -48,6 +49,7 @@
     private final TargetRegistry registry;
     private final Roster roster;
     private final Forwarder forwarder;
+    private final EraGuard eraGuard;
     private final CrashReports crashReports;
     private final TargetRateLimits rateLimits;
     private final RateLimitReports rateLimitReports;
@@ -102,6 +104,12 @@
                 settings.retries(),
                 roster::size,
                 ports.random());
+        this.eraGuard = EraGuard.of(
+                ports.store(),
+                timers,
+                () -> forwarder.catalog().map(Catalog::version).orElse(0L),
+                this::rankOnRoster,
+                ports.renewProof());
         this.crashReports = CrashReports.of(self.vm(), ports.store(), timers, ports.random(), roster::size);
         forwarder.setCrashReports(crashReports);
         forwarder.setDownNoticePublisher(roster::publishDown);
@@ -221,6 +229,13 @@
         return listed.isEmpty() && draining ? List.of(self.address()) : listed;
     }
 
+    /** Counts the daemons that come before this one in the order of their names. */
+    private int rankOnRoster() {
+        return (int) roster.entries().stream()
+                .filter(e -> e.vm().compareTo(self.vm()) < 0)
+                .count();
+    }
+
     // Commands
 
     /**
@@ -233,6 +248,19 @@
         announceIfServing();
     }
 
+    /**
+     * Handles the era of the store, to be called before anything that was read in that era.
+     * @param era the era, {@link EraGuard#NO_ERA} for a store that does not name one
+     */
+    public void onStoreEra(long era) {
+        eraGuard.onEra(era);
+    }
+
+    /** Handles that the operator has written the configuration while this daemon was following the store. */
+    public void onOperatorWrote() {
+        eraGuard.onOperatorWrote();
+    }
+
     /**
      * Sets the listener for changes of the catalog in force.
      * @param listener receives the catalog after each change
@@ -248,7 +276,7 @@
     }
 
     private void announceIfServing() {
-        if (listening && !draining && forwarder.catalog().isPresent()) {
+        if (listening && !draining && forwarder.catalog().isPresent() && eraGuard.trustsConfiguration()) {
             roster.announce();
         }
     }
@@ -265,6 +293,11 @@
             crashReports.onKeyPresent(key, value);
         } else if (key.startsWith(RateLimitReports.PREFIX)) {
             rateLimitReports.onKeyPresent(key, value);
+        } else if (key.equals(EraGuard.KEY)) {
+            eraGuard.onMark(value);
+            if (!eraGuard.trustsConfiguration()) {
+                freshness.withdrawProof();
+            }
         } else {
             roster.onKeyPresent(key, value, heldBy, discovery);
         }
@@ -294,11 +327,15 @@
     }
 
     /**
-     * Records that the store has confirmed everything that was read from it.
+     * Records that the store has confirmed everything that was read from it. That proves nothing about the configuration
+     * while a newer one may have been in force before the store was restored.
      * @param sent when the confirming call was sent
      */
     public void onProof(Freshness.ClockReading sent) {
-        freshness.recordProof(sent);
+        if (eraGuard.trustsConfiguration()) {
+            freshness.recordProof(sent);
+            announceIfServing();
+        }
         if (storeLost) {
             storeLost = false;
             timeline.record(EventKind.STORE_REGAINED);
