Keep daemons on the roster while a restored store is lost again

The trace: the store was lost again 0.4 s after its return, before the daemons could register; 2.3 s later every daemon had dropped all others as lapsed and took the whole limit, and would have taken the whole retry budget and listed only itself in the directory. The registry of targets lets nothing lapse while the store is lost; the roster did. Ruled out: limits that are forgotten (no change of a limit in the log).

RosterTest.keepsListingDaemonsWhenTheStoreIsLostAgainBeforeTheyCouldRegister failed before.

--- a/siskinlead-core/src/main/java/org/siskinlead/core/roster/Roster.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/roster/Roster.java
@@ -294,6 +294,7 @@
     public void onStoreRegained() {
         storeLost = false;
         storeRegainedAt = timers.nowMillis();
+        lapseGraceUntil.replaceAll((key, until) -> storeRegainedAt + LAPSE_GRACE_MS);
         tick();
     }
 
@@ -418,7 +419,11 @@
         }
     }
 
+    /** Removes entries whose daemons have not registered again in time; while the store is lost, none of them can. */
     private void removeLapsed() {
+        if (storeLost) {
+            return;
+        }
         long now = timers.nowMillis();
         for (Map.Entry<String, Long> lapsed : List.copyOf(lapseGraceUntil.entrySet())) {
             if (now >= lapsed.getValue()) {
--- a/siskinlead-core/src/test/java/org/siskinlead/core/roster/RosterTest.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/roster/RosterTest.java
@@ -66,6 +66,33 @@
         }
     }
 
+    // Guards against each daemon counting itself as the only one when the store is lost again right after it was
+    // restored
+    // from a copy without their entries.
+    @Test
+    void keepsListingDaemonsWhenTheStoreIsLostAgainBeforeTheyCouldRegister() {
+        store.restoreEmpty();
+        store.mode = FakeLeaseStore.Mode.UNAVAILABLE;
+        for (Roster roster : rosters) {
+            roster.onStoreLost();
+            roster.onStoreRestored();
+            roster.retainKeys(List.of());
+            roster.onStoreRegained();
+            roster.onStoreLost();
+        }
+        timers.advance(8_000);
+        for (Roster roster : rosters) {
+            assertThat(roster.entries()).hasSize(3);
+        }
+
+        store.mode = FakeLeaseStore.Mode.WORKING;
+        rosters.forEach(Roster::onStoreRegained);
+        timers.advance(6_000);
+        for (Roster roster : rosters) {
+            assertThat(roster.entries()).hasSize(3);
+        }
+    }
+
     @Test
     void letsAnotherDaemonIssueOrdersWhenTheIssuerLeaves() {
         Roster issuer = issuers().get(0);
