--- a/siskinlead-core/src/main/java/org/siskinlead/core/ratelimit/RateShare.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/ratelimit/RateShare.java
@@ -6,7 +6,7 @@
 /**
  * A daemon's share of the limit of a target. Few daemons hold a target's whole limit in equal shares, chosen for each
  * target by rendezvous hashing (Thaler and Ravishankar, 1998), so that all daemons agree on the holders without a
- * message, few shares move when a daemon comes or goes, and a share is not much smaller than one request a second.
+ * message, few shares move when a daemon comes or goes, and the bursts of all holders stay small beside the limit.
  * @param perSecond requests a second
  * @param burst requests that the holder may send at once, at least 1
  * @param initial requests that a new holder may send at once; the holders' first requests are spread over time
--- a/siskinlead-core/src/main/java/org/siskinlead/core/ratelimit/TargetRateLimits.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/ratelimit/TargetRateLimits.java
@@ -193,8 +193,8 @@
     }
 
     /**
-     * Handles the limit that another daemon reports. Which of a report and an answer is older is not known, so the lower limit
-     * counts while an answer with one is recent; the next answer corrects it.
+     * Handles the limit that another daemon reports. Which of a report and an answer is older is not known, so the
+     * lower limit counts while an answer with one is recent; the next answer corrects it.
      * @param instanceId the target's instance
      * @param perSecond requests a second that the target takes from all daemons together, infinite when it has no limit
      */
--- a/siskinlead-core/src/main/java/org/siskinlead/core/ratelimit/package-info.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/ratelimit/package-info.java
@@ -1,6 +1,6 @@
 /**
- * Keeps the limits that targets name on the rate of their requests, which hold for all daemons together. Must never let
- * the daemons send more because they disagree about who is one of them.
+ * Keeps the limits that targets name on the rate of their requests, which hold for all daemons together. Must never send
+ * a request without a token of this daemon's own share.
  */
 @NullMarked
 package org.siskinlead.core.ratelimit;
