Review case 1: streams accepted during a planned stop are cut

Cause: a draining daemon judges by 25 ms a token whether a stream will end in time, and accepts longer ones. Change: the engine of the script works at the speeds of the sheet.

--- a/review/lib/lab.py
+++ b/review/lib/lab.py
@@ -182,6 +182,23 @@
             self.revision += 1
             self._notify({"key": key, "revision": self.revision, "tombstone": True})
 
+    def copy(self):
+        """Takes the copy from which the store may come back."""
+        return dict(self.items), list(self.history), dict(self.leases), self.revision, self.last_lease
+
+    async def go_away(self):
+        """Stops answering: closes all connections and refuses new ones."""
+        self.server.close()
+        for writer in list(self.connections):
+            writer.transport.abort()
+
+    async def come_back(self, copy):
+        """Comes back from a copy, in a new era; what was written since the copy is gone."""
+        items, history, leases, self.revision, self.last_lease = copy
+        self.items, self.history, self.leases = dict(items), list(history), dict(leases)
+        self.era += 1
+        self.server = await asyncio.start_server(self._serve, self.host, self.port)
+
     def _notify(self, event):
         now = time.monotonic()
         self.history.append((now, event))
@@ -387,15 +404,49 @@
 
 
 class Engine(Server):
-    """A model server that can hold all layers, answers with a stream, and follows `place` orders."""
+    """A model server that can hold all layers, answers with streams, and follows `place` orders.
+
+    It works in passes, as the pages say: each takes `stride` steps of all requests that write, and reads waiting prompts in
+    between, at the speeds of the `engine` of its service times those of its kind.
+    """
 
-    def __init__(self, lab, service, zone, kind, token_s):
+    def __init__(self, lab, service, zone, kind):
         super().__init__(lab, service, zone, slots=134)
         self.kind = kind
-        self.token_s = token_s
         self.layers = None
         self.orders = 0
-        self.writing = set()
+        self.streams = []
+        self.passes_s = []
+
+    async def start(self):
+        await super().start()
+        spec = next(s for s in self.lab.services if s["name"] == self.service)["engine"]
+        kind = next(k for k in spec["kinds"] if k["name"] == self.kind)
+        asyncio.get_running_loop().create_task(self._work(spec, kind))
+
+    async def _work(self, spec, kind):
+        free_at = time.monotonic()
+        while True:
+            if not self.streams:
+                await asyncio.sleep(0.002)
+                free_at = time.monotonic()
+                continue
+            unread = spec["chunk"] * spec["stride"]
+            read = 0
+            writing = [s for s in self.streams if s.unread == 0]
+            for stream in self.streams:
+                tokens = min(stream.unread, unread - read)
+                stream.unread -= tokens
+                read += tokens
+            step_ms = spec["step_ms"] + sum(
+                spec["per_seq_ms"] + spec["context_per_k"] * (s.prompt + 2 * s.event) / 1000 for s in writing)
+            pass_ms = (spec["stride"] * step_ms * kind["pace"] if writing else 0)
+            pass_ms += read * 1000 * kind["read_factor"] / spec["read_per_s"]
+            self.passes_s.append(pass_ms / 1000)
+            free_at += pass_ms / 1000
+            await asyncio.sleep(max(0, free_at - time.monotonic()))
+            for stream in writing:
+                stream.write_event()
 
     def models(self):
         return [{"name": "m0", "version": 1, "adapters": []}] if self.layers else []
@@ -415,7 +466,7 @@
                 "busy": False,
                 "sequence": self.orders,
                 "waiting": 0,
-                "running": len(self.writing),
+                "running": len(self.streams),
                 "kv_used": 0,
                 "kv_total": 90000,
                 "handles": 0,
@@ -441,28 +492,48 @@
     async def run(self, request, reader, writer):
         self.note_run(request)
         rid = request.get("X-Request-Id")
-        tokens = int(request.get("X-Token-Counts").split(",")[1])
-        first = int(request.get("Last-Event-Id") or 0) + 1
         fields = self.sealed(request) + [("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked")]
         writer.write(encode("HTTP/1.1 200 OK", fields))
-        self.writing.add(rid)
+        stream = Stream(request, writer)
+        self.streams.append(stream)
         gone = asyncio.get_running_loop().create_task(reader.read(1))
+        done = asyncio.get_running_loop().create_task(stream.done.wait())
         try:
-            for event in range(first, tokens // 2 + 1):
-                await asyncio.sleep(2 * self.token_s)
-                if gone.done():
-                    self.lab.record.write("server %s: the connection of %s closed at event %d" % (self.id, rid, event))
-                    return False
-                data = b"id: %d\ndata: %s-%d\n\n" % (event, rid.encode(), event)
-                writer.write(b"%x\r\n%s\r\n" % (len(data), data))
-                await writer.drain()
+            await asyncio.wait([gone, done], return_when=asyncio.FIRST_COMPLETED)
+            if not stream.done.is_set():
+                self.lab.record.write("server %s: the connection of %s closed after event %d" % (self.id, rid, stream.event))
+                return False
             writer.write(b"0\r\n\r\n")
             await writer.drain()
             self.lab.record.write("server %s has written all of %s" % (self.id, rid))
             return False
         finally:
             gone.cancel()
-            self.writing.discard(rid)
+            done.cancel()
+            self.streams.remove(stream)
+
+
+class Stream:
+    """A request in the batch of an engine; each event holds two tokens."""
+
+    def __init__(self, request, writer):
+        prompt, answer = request.get("X-Token-Counts").split(",")
+        self.rid = request.get("X-Request-Id")
+        self.writer = writer
+        self.prompt = int(prompt)
+        self.unread = self.prompt
+        self.event = int(request.get("Last-Event-Id") or 0)
+        self.last = int(answer) // 2
+        self.done = asyncio.Event()
+
+    def write_event(self):
+        if self.done.is_set():
+            return
+        self.event += 1
+        data = b"id: %d\ndata: %s-%d\n\n" % (self.event, self.rid.encode(), self.event)
+        self.writer.write(b"%x\r\n%s\r\n" % (len(data), data))
+        if self.event >= self.last:
+            self.done.set()
 
 
 class Daemon:
@@ -595,8 +666,7 @@
         """Sends a request, its body at a rate if one is given, and reads its answer; the outcome says how it ended."""
         rid = rid or "%016x" % random.getrandbits(64)
         head = [("Host", self.lab.hostname), ("X-Request-Id", rid), ("X-Deadline-Ms", str(budget_ms))]
-        if self.lab.tenants:
-            head.append(("Authorization", "Token " + (key or self.lab.key)))
+        head.append(("Authorization", "Token " + (key or self.lab.key)))
         head += list(fields)
         if body or method != "GET":
             head.append(("Content-Length", str(len(body))))
@@ -681,6 +751,7 @@
         self.daemons = []
         self.servers = []
         self.connections = []
+        self.tasks = []
         self.server_host = free_host()
         self.record.write("the disruption is %s" % ("on" if self.trouble else "off"))
 
@@ -691,17 +762,18 @@
     def add_plain_service(self, name):
         self.services.append({"name": name, "health_path": "/health", "max_conns": 96, "protocol": "h1", "tls": False})
 
-    def add_engine_service(self, name, step_ms=0.85, pace=1.4):
+    def add_engine_service(self, name):
+        """Adds a service of engines with the speeds of the sheet; a card of its kind holds all layers and 69,791 tokens."""
         self.services.append({
             "name": name, "health_path": "/health", "max_conns": 968, "protocol": "h1", "tls": False,
             "engine": {
                 "slots": 134, "kv_cache_tokens": 69791, "token_kv_bytes": 845373, "link_mbps": 480000.0, "stride": 2,
                 "models": [{"name": "m0", "pace": 1.0, "load_s": 14.0, "warm_s": 1.0}],
-                "step_ms": step_ms, "per_seq_ms": 0.00547, "context_per_k": 0.00734, "read_per_s": 196000.0,
+                "step_ms": 0.85, "per_seq_ms": 0.00547, "context_per_k": 0.00734, "read_per_s": 196000.0,
                 "pairs_per_m": 0.166, "chunk": 512, "report_lag_ms": 200.0, "loads_per_s": 0.0, "loads_at_once": 6,
                 "delays": [], "usual": {"prompt": 772, "answer": 167}, "layers": 80, "layer_mb": 1750.0,
                 "activation_bytes": 42268, "pipe_mbps": 13000.0,
-                "kinds": [{"name": "big", "mb": 288000.0, "pace": pace, "read_factor": 1.0}],
+                "kinds": [{"name": "l4", "mb": 199000.0, "pace": 16.0, "read_factor": 8.2}],
             },
         })
 
@@ -714,8 +786,9 @@
         route.update(more)
         self.routes.append(route)
 
-    def put_config(self):
-        self.version += random.randint(1, 5)
+    def put_config(self, again=False):
+        """Writes the configuration, with a higher version unless it is the same one again."""
+        self.version += 0 if again else random.randint(1, 5)
         self.record.write("the operator writes configuration %d, limits %s" % (self.version, self.limits))
         self.store.put(CONFIG_KEY, {
             "version": self.version, "routes": self.routes, "services": self.services, "limits": self.limits,
@@ -736,6 +809,12 @@
             asyncio.get_running_loop().create_task(daemon.supervise())
         await self.wait_until_ready()
 
+    def spawn(self, coroutine):
+        """Starts a task that is ended before the daemons are."""
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self.tasks.append(task)
+        return task
+
     async def wait_until_ready(self, timeout_s=30):
         ends = time.monotonic() + timeout_s
         for daemon in self.daemons:
@@ -763,6 +842,8 @@
     try:
         return await case(lab)
     finally:
+        for task in lab.tasks:
+            task.cancel()
         for daemon in lab.daemons:
             daemon.end()
         for connection in lab.connections:
