--- a/review/lib/lab.py
+++ b/review/lib/lab.py
@@ -433,13 +433,8 @@
                 continue
             unread = spec["chunk"] * spec["stride"]
             read = 0
-            running = [s for s in self.streams if s.preempted_until <= time.monotonic()]
-            if not running:
-                await asyncio.sleep(0.002)
-                free_at = time.monotonic()
-                continue
-            writing = [s for s in running if s.unread == 0]
-            for stream in running:
+            writing = [s for s in self.streams if s.unread == 0]
+            for stream in self.streams:
                 tokens = min(stream.unread, unread - read)
                 stream.unread -= tokens
                 read += tokens
@@ -494,14 +489,6 @@
         self.register()
         return True
 
-    def preempt_newest(self, count, seconds):
-        """Preempts the newest requests that write, for as long as others take their memory; then they are read again."""
-        newest = [s for s in self.streams if s.unread == 0 and s.event > 0][-count:]
-        for stream in newest:
-            stream.preempted_until = time.monotonic() + seconds
-            stream.unread = stream.prompt + 2 * stream.event
-            self.lab.record.write("server %s preempts %s after event %d" % (self.id, stream.rid, stream.event))
-
     async def run(self, request, reader, writer):
         self.note_run(request)
         rid = request.get("X-Request-Id")
@@ -537,7 +524,6 @@
         self.unread = self.prompt
         self.event = int(request.get("Last-Event-Id") or 0)
         self.last = int(answer) // 2
-        self.preempted_until = 0.0
         self.done = asyncio.Event()
 
     def write_event(self):
