Resume a stream after a refusal: only targets that may have run it count

Its path was cut, because an engine had left, and the daemon closed the caller's connection at once.

Cause: SendHistory counted each target to which a stream was sent towards the maximum of its route, also those that had refused it without running it, mostly before it began. With two targets allowed, a stream that was refused once and then began was never resumed; one that was resumed at a second target ended at that target's first refusal. An exhausted retry budget ended it too.

For all others nothing changes: a refusal is an honest end.

Now such a stream waits for room, ahead of new ones, as long as its caller does, and may return to the targets that it ran on. Each resumption is charged to the retry budget when it is sent, so the sum over all daemons stays as it was.

--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/AbstractForwardedCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/AbstractForwardedCall.java
@@ -211,7 +211,8 @@
         }
     }
 
-    final void retryOrGiveUp(String reason, RetryBudgetShare.Cost cost) {
+    /** Sends the request again after a failure if its attempts and the retry budget allow it. */
+    void retryOrGiveUp(String reason, RetryBudgetShare.Cost cost) {
         attempt = null;
         if (!sendHistory.allowsRetry()) {
             giveUp(reason);
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/SendHistory.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/SendHistory.java
@@ -21,7 +21,11 @@
     private int sendCount;
     private int connectFailures;
 
-    private record Tried(TargetHealth target, int sends) {}
+    private record Tried(TargetHealth target, int sends, int refusals) {
+        boolean mayHaveRun() {
+            return sends > refusals;
+        }
+    }
 
     SendHistory(ForwardingContext context, AdmittedRequest admitted) {
         this.context = context;
@@ -56,11 +60,43 @@
 
     /** Tells whether another send is allowed. Only targets that are known to have ended do not count towards the maximum. */
     boolean allowsRetry() {
+        return allowsSend()
+                && targetCount() - endedTargetCount() < admitted.route().maxAttempts();
+    }
+
+    /**
+     * Tells whether a stream of which the caller has a part may be resumed. Any number of targets may refuse it without
+     * running it, as only those that may run it count towards the maximum, and it may return to one of these.
+     */
+    boolean allowsResume() {
+        return allowsSend()
+                && (allowsNewTarget() || triedTargets.values().stream().anyMatch(this::mayRunAgain));
+    }
+
+    /** Tells whether a stream may be resumed at a target as far as the maximum number of targets is concerned. */
+    boolean allowsResumeAt(String instanceId) {
+        Tried tried = triedTargets.get(instanceId);
+        return (tried != null && tried.mayHaveRun()) || allowsNewTarget();
+    }
+
+    private boolean allowsNewTarget() {
+        long counted = triedTargets.values().stream()
+                .filter(t -> t.mayHaveRun() && !t.target().hasEnded())
+                .count();
+        return counted < admitted.route().maxAttempts();
+    }
+
+    private boolean mayRunAgain(Tried tried) {
+        return tried.mayHaveRun()
+                && tried.target().isAvailable()
+                && !excludedInstances.contains(tried.target().entry().instanceId());
+    }
+
+    private boolean allowsSend() {
         if ((mayHaveRun && !admitted.route().isIdempotent()) || (admitted.isTrial() && sendCount > 0)) {
             return false;
         }
-        return targetCount() - endedTargetCount() < admitted.route().maxAttempts()
-                && connectFailures < MAX_CONNECT_FAILURES
+        return connectFailures < MAX_CONNECT_FAILURES
                 && !context.suspects().isBlocked(admitted.fingerprint())
                 && !context.crashWatch().isBlocked(admitted);
     }
@@ -71,8 +107,15 @@
         sendCount++;
         triedTargets.merge(
                 target.entry().instanceId(),
-                new Tried(target, 1),
-                (known, added) -> new Tried(known.target(), known.sends() + 1));
+                new Tried(target, 1, 0),
+                (known, added) -> new Tried(known.target(), known.sends() + 1, known.refusals()));
+    }
+
+    /** Records that a target has refused the last send to it without running the request. */
+    void onNotRun(TargetHealth target) {
+        triedTargets.computeIfPresent(
+                target.entry().instanceId(),
+                (instanceId, known) -> new Tried(known.target(), known.sends(), known.refusals() + 1));
     }
 
     /** Takes back the last send to a target, since the connection failed before anything was sent. */
@@ -80,7 +123,8 @@
         connectFailures++;
         triedTargets.computeIfPresent(
                 target.entry().instanceId(),
-                (instanceId, known) -> known.sends() == 1 ? null : new Tried(known.target(), known.sends() - 1));
+                (instanceId, known) ->
+                        known.sends() == 1 ? null : new Tried(known.target(), known.sends() - 1, known.refusals()));
     }
 
     void onMayHaveRun() {
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamTiming.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamTiming.java
@@ -90,6 +90,11 @@
         return firstEventMillis;
     }
 
+    /** Gets the time since events were last delivered, in milliseconds; at first, since the request was received. */
+    long sinceDeliveryMillis() {
+        return timers.nowMillis() - (firstEventMillis < 0 ? receivedAt : lastDeliveryAt);
+    }
+
     /** Gets the longest pause between two deliveries of events. */
     long longestPauseMillis() {
         return longestPauseMillis;
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamingCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamingCall.java
@@ -1,7 +1,6 @@
 package org.siskinlead.core.forwarding;
 
 import java.io.ByteArrayOutputStream;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -24,7 +23,7 @@
     private static final double QUEUE_WAIT_OBJECTIVES = 2.4;
     /** Longest wait while no path exists at all, as a multiple of the latency objective. */
     private static final double NO_PATH_WAIT_OBJECTIVES = 0.5;
-    /** Longest wait for capacity to retry or resume; callers abandon a stream that pauses for 2 s. */
+    /** Longest wait for capacity to retry a stream of which nothing has been delivered. */
     private static final long RETRY_WAIT_MS = 1_500;
     /** Priority of a retried or resumed stream, ahead of new ones: its caller may be in the middle of an answer. */
     private static final int RETRY_PRIORITY = 0;
@@ -38,6 +37,7 @@
 
     private final ByteArrayOutputStream failureBody = new ByteArrayOutputStream();
     private final StreamTiming timing;
+    private final StreamResumption resumption;
     private EventSplitter splitter = new EventSplitter();
     private boolean started;
     private long lastEventId;
@@ -53,6 +53,7 @@
         super(context, chooser, queue, admitted, reply, onDone);
         this.lastEventId = admitted.request().lastEventId();
         this.timing = new StreamTiming(context.timers(), admitted.receivedAt());
+        this.resumption = StreamResumption.of(context, chooser, admitted, sendHistory);
     }
 
     static StreamingCall of(
@@ -73,12 +74,9 @@
         if (mayTryNow && trySend()) {
             return;
         }
-        long objectiveMillis = admitted.route().latencyObjectiveMillis();
         boolean pathExists = chooser.choose(admitted, sendHistory.excludedInstances(), CapacityCheck.SKIPPED)
                 .isPresent();
-        long waitMillis = isRetryOrResume()
-                ? RETRY_WAIT_MS
-                : Math.round(objectiveMillis * (pathExists ? QUEUE_WAIT_OBJECTIVES : NO_PATH_WAIT_OBJECTIVES));
+        long waitMillis = maxWaitMillis(pathExists);
         if (refuseIfUnusableFor(waitMillis)) {
             return;
         }
@@ -101,6 +99,16 @@
         queue.add(this, waitMillis);
     }
 
+    private long maxWaitMillis(boolean pathExists) {
+        long objectiveMillis = admitted.route().latencyObjectiveMillis();
+        if (started) {
+            return resumption.maxWaitMillis(timing.sinceDeliveryMillis());
+        }
+        return isRetryOrResume()
+                ? RETRY_WAIT_MS
+                : Math.round(objectiveMillis * (pathExists ? QUEUE_WAIT_OBJECTIVES : NO_PATH_WAIT_OBJECTIVES));
+    }
+
     @Override
     public int priority() {
         return isRetryOrResume() ? RETRY_PRIORITY : 1 + admitted.priority();
@@ -108,9 +116,10 @@
 
     @Override
     public boolean trySend() {
-        Optional<TargetChooser.Choice> choice =
-                chooser.choose(admitted, sendHistory.excludedInstances(), CapacityCheck.ENFORCED);
-        if (choice.isEmpty()) {
+        Optional<TargetChooser.Choice> choice = started
+                ? resumption.choose()
+                : chooser.choose(admitted, sendHistory.excludedInstances(), CapacityCheck.ENFORCED);
+        if (choice.isEmpty() || !resumption.pay()) {
             return false;
         }
         queue.onSent();
@@ -307,6 +316,7 @@
         if (reportsOther) {
             context.prober().check(faulty, admitted.request().id());
         }
+        sendHistory.onNotRun(from.target());
         lastFailure = faulty.entry().id() + " refused the request with status " + response.status();
         retryOrGiveUp(lastFailure, RetryBudgetShare.Cost.BUDGETED);
     }
@@ -314,6 +324,10 @@
     @Override
     public void onTargetDown(String instanceId) {
         Attempt current = attempt;
+        if (current == null && started && !sendHistory.allowsResume()) {
+            giveUp(instanceId + " was found down, and no other target may run the stream");
+            return;
+        }
         if (current == null || !current.usesInstance(instanceId)) {
             return;
         }
@@ -324,6 +338,21 @@
         retryOrGiveUp(lastFailure, RetryBudgetShare.Cost.BUDGETED);
     }
 
+    @Override
+    void retryOrGiveUp(String reason, RetryBudgetShare.Cost cost) {
+        if (!started) {
+            super.retryOrGiveUp(reason, cost);
+            return;
+        }
+        attempt = null;
+        if (sendHistory.allowsResume()) {
+            resumption.onDue(cost);
+            retry(reason);
+        } else {
+            giveUp(reason);
+        }
+    }
+
     @Override
     boolean hasDelivered() {
         return lastEventId > 0;
@@ -386,13 +415,11 @@
                 || isDone()
                 || lastEventId == 0
                 || !timing.isStuck(gapObjectiveMillis())
-                || !sendHistory.allowsRetry()) {
+                || !sendHistory.allowsResume()) {
             return;
         }
         String instanceId = current.target().entry().instanceId();
-        Set<String> excluded = new HashSet<>(sendHistory.excludedInstances());
-        excluded.add(instanceId);
-        if (chooser.choose(admitted, excluded, CapacityCheck.ENFORCED).isEmpty()
+        if (resumption.chooseWithout(Set.of(instanceId)).isEmpty()
                 || !context.retryBudget().tryAcquire(admitted.service().name(), retryPurpose())) {
             return;
         }
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/TargetChooser.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/TargetChooser.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.jspecify.annotations.Nullable;
 import org.siskinlead.core.catalog.EngineSpec;
 import org.siskinlead.core.chains.HopPath;
@@ -53,10 +54,25 @@
      * @return the choice, empty when no target or path is usable
      */
     Optional<Choice> choose(AdmittedRequest request, Set<String> excludedInstances, CapacityCheck check) {
+        return choose(request, excludedInstances, instanceId -> true, check);
+    }
+
+    /**
+     * Chooses the target or path with the least cost.
+     * @param request the request
+     * @param excludedInstances target instances to which the request must not be sent
+     * @param mayAnswer whether the request may be sent to a target instance that can be the first of a path
+     * @param check whether the targets must have free memory, and their limits leave room, for the request
+     * @return the choice, empty when no target or path is usable
+     */
+    Optional<Choice> choose(
+            AdmittedRequest request, Set<String> excludedInstances, Predicate<String> mayAnswer, CapacityCheck check) {
         List<TargetHealth> usable = new ArrayList<>();
         for (TargetHealth target : context.registry().of(request.service().name())) {
+            String instanceId = target.entry().instanceId();
             if (target.isUsable()
-                    && !excludedInstances.contains(target.entry().instanceId())
+                    && !excludedInstances.contains(instanceId)
+                    && (!canBeFirst(request, target) || mayAnswer.test(instanceId))
                     && (check == CapacityCheck.SKIPPED || limitLeavesRoom(request, target))) {
                 usable.add(target);
             }
--- a/siskinlead-core/src/test/java/org/siskinlead/core/fakes/FakeTargetLink.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/fakes/FakeTargetLink.java
@@ -36,6 +36,8 @@
         public final Dispatch dispatch;
         public final Listener listener;
         public boolean cancelled;
+        /** Whether the target has begun to answer. */
+        public boolean ran;
         /** Whether the target says in its answer that it is about to stop. */
         public boolean leaving;
         /** Limit that the target names in its answer, in requests a second. */
@@ -67,6 +69,7 @@
         }
 
         public void startStream() {
+            ran = true;
             listener.onHead(responseHead(200, false, true));
         }
 
