Resume a stream at its first target when a later one of its path has left

Cause: a broken connection excluded the target that had answered, also when it ended because a later engine of the path had left; with the maximum of targets reached, no other was allowed either.

Now the first target is excluded only if every later one of its path is still in service. A path without the lost engine is chosen then, so no stream returns to the same path; a refused connection is bounded as before.

ResumedStreamTest.resumesAtTheSameTargetOverOtherEngines and .runsAtNoMoreTargetsThanAllowedHoweverManyRefuse failed before.

--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/Attempt.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/Attempt.java
@@ -52,6 +52,14 @@
         return path == null ? target().entry().instanceId().equals(instanceId) : path.containsInstance(instanceId);
     }
 
+    /** Tells whether a target of the path is no longer in service, except the one that answers. */
+    boolean hasLostLaterTarget() {
+        HopPath path = choice.path();
+        return path != null
+                && path.hops().stream()
+                        .anyMatch(h -> h.target() != target() && !h.target().isAvailable());
+    }
+
     /** Gets the time at which the request was sent, in milliseconds of the monotonic clock. */
     long sentAt() {
         return sentAt;
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamingCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamingCall.java
@@ -296,7 +296,9 @@
         if (failure.mayHaveRun()) {
             sendHistory.onMayHaveRun();
             from.target().onFailure();
-            sendHistory.exclude(from.target().entry().instanceId());
+            if (failure != LinkFailure.BROKEN || !from.hasLostLaterTarget()) {
+                sendHistory.exclude(from.target().entry().instanceId());
+            }
             if (failure == LinkFailure.BROKEN) {
                 context.prober().onConnectionBroken(from.target(), admitted, suspect());
             }
--- a/siskinlead-core/src/test/java/org/siskinlead/core/forwarding/ResumedStreamTest.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/forwarding/ResumedStreamTest.java
@@ -4,11 +4,15 @@
 
 import org.junit.jupiter.api.Test;
 import org.siskinlead.core.fakes.FakeTargetLink.ReceivedRequest;
+import org.siskinlead.core.fakes.Fleets;
 import org.siskinlead.core.fakes.ForwardingTestBed;
 import org.siskinlead.core.fakes.RecordedReply;
+import org.siskinlead.core.registry.RegisteredTarget;
+import org.siskinlead.core.routing.LayerRange;
 
 /** Tests that a stream which has begun goes on after its path was cut, also when targets refuse to resume it at first. */
 class ResumedStreamTest {
+    private static final int MAX_ATTEMPTS = 2;
     /** Callers leave after eight times the gap objective, four times the latency objective, or this time. */
     private static final long CALLER_PATIENCE_MS = 2_000;
 
@@ -44,6 +48,47 @@
         assertThat(reply.complete).isTrue();
     }
 
+    // Guards against streams that are cut when a later target of their path has left and no other first one has room.
+    @Test
+    void resumesAtTheSameTargetOverOtherEngines() {
+        bed.registry.unregister("west-low");
+        RecordedReply reply = bed.send("/stream/x");
+        ReceivedRequest first = bed.link.last();
+        begin(first, 5);
+        bed.registry.unregister(
+                first.dispatch.path().hops().get(1).target().entry().id());
+        first.fail(LinkFailure.BROKEN);
+
+        assertThat(bed.link.last().dispatch.target().id()).isEqualTo("east-low");
+        finish(6, 9);
+        assertThat(reply.complete).isTrue();
+    }
+
+    // Guards against streams that run on more targets than allowed after refusals: only those that may run it count.
+    @Test
+    void runsAtNoMoreTargetsThanAllowedHoweverManyRefuse() {
+        bed.registry.register(Fleets.engine("north-low", "north", "h100", new LayerRange(0, 40)));
+        bed.registry.register(Fleets.engine("north-high", "north", "h100", new LayerRange(40, 80)));
+        RecordedReply reply = bed.send("/stream/x");
+        long events = 0;
+        while (reply.isOpen() && events < 40) {
+            begin(bed.link.last(), events, events + 2);
+            events += 2;
+            loseLaterEngine(bed.link.last(), "spare-" + events);
+            bed.timers.advance(20);
+            bed.link.last().respondNotRun(503);
+            bed.timers.advance(400);
+        }
+
+        long ran = bed.link.received.stream()
+                .filter(r -> r.ran)
+                .map(r -> r.dispatch.target().instanceId())
+                .distinct()
+                .count();
+        assertThat(ran).isAtMost(MAX_ATTEMPTS);
+        assertThat(events).isAtLeast(6L);
+    }
+
     @Test
     void endsAStreamThatNoTargetResumesOnceItsCallerHasLostPatience() {
         RecordedReply reply = bed.send("/stream/x");
@@ -62,6 +107,14 @@
         assertThat(reply.aborted).isTrue();
     }
 
+    /** Lets the later engine of a path leave, which cuts its streams, after another one has taken its place. */
+    private void loseLaterEngine(ReceivedRequest sent, String replacement) {
+        RegisteredTarget left = sent.dispatch.path().hops().get(1).target().entry();
+        bed.registry.register(Fleets.engine(replacement, left.dataCentre(), "h100", new LayerRange(40, 80)));
+        bed.registry.unregister(left.id());
+        sent.fail(LinkFailure.BROKEN);
+    }
+
     private static void begin(ReceivedRequest sent, long events) {
         begin(sent, 0, events);
     }
