Go on elsewhere when a target answers a resumed stream with an error

Cause: StreamingCall.onHead broke it off.

Now that target is excluded, counts as one that may have run the stream, and the stream goes on where it still may. ResumedStreamTest.goesOnElsewhereWhenTheTargetThatShouldResumeItAnswersWithAnError failed before for every status.

--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamingCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamingCall.java
@@ -159,6 +159,13 @@
         } else if (response.notRun() || response.status() == MISDIRECTED_REQUEST) {
             from.cancel();
             onTargetRefusal(from, response);
+        } else if (!response.isSuccess() && started) {
+            from.cancel();
+            from.target().onFailure();
+            sendHistory.exclude(from.target().entry().instanceId());
+            lastFailure = from.target().entry().id() + " answered with status " + response.status()
+                    + " when the stream was resumed";
+            retryOrGiveUp(lastFailure, RetryBudgetShare.Cost.BUDGETED);
         } else if (!response.isSuccess() && sendHistory.allowsRetry() && response.isServerError()) {
             from.cancel();
             from.target().onFailure();
@@ -166,10 +173,6 @@
             retryOrGiveUp(
                     from.target().entry().id() + " answered with status " + response.status(),
                     RetryBudgetShare.Cost.BUDGETED);
-        } else if (!response.isSuccess() && started) {
-            from.cancel();
-            abort(from.target().entry().id() + " answered with status " + response.status()
-                    + " when the stream was resumed");
         } else if (!started) {
             head = response;
         }
--- a/siskinlead-core/src/test/java/org/siskinlead/core/forwarding/ResumedStreamTest.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/forwarding/ResumedStreamTest.java
@@ -89,6 +89,26 @@
         assertThat(events).isAtLeast(6L);
     }
 
+    // Guards against the text of an error in the middle of a stream, and against a stream that ends there.
+    @Test
+    void goesOnElsewhereWhenTheTargetThatShouldResumeItAnswersWithAnError() {
+        for (int status : new int[] {400, 404, 429, 500, 504}) {
+            RecordedReply reply = bed.send("/stream/" + status);
+            ReceivedRequest first = bed.link.last();
+            begin(first, 5);
+            loseLaterEngine(first, "spare-" + status);
+            ReceivedRequest failed = bed.link.last();
+            failed.respond(status);
+            bed.timers.advance(20);
+
+            assertThat(bed.link.last().dispatch.target().id())
+                    .isNotEqualTo(failed.dispatch.target().id());
+            finish(6, 9);
+            assertThat(reply.events.toString()).isEqualTo(RecordedReply.streamText(1, 9));
+            assertThat(reply.complete).isTrue();
+        }
+    }
+
     @Test
     void endsAStreamThatNoTargetResumesOnceItsCallerHasLostPatience() {
         RecordedReply reply = bed.send("/stream/x");
