Keep a buffered request on a silent target unless another one can take it now

Callers would have got "unknown" (502) for a request that must not be repeated, or a failure for a safe one, though its target was only silent for a second. Cause: BufferedCall.onTargetDown cancelled the attempt whatever was known of the target, and looked for another afterwards.

Now a silent target's attempt ends only if the request may be repeated and another target has room, as for a response head that is late; both share one method. A target that has ended is handled as before.

SilentTargetTest.waitsForTheAnswerToARequestThatMustNotBeRepeated and .waitsForTheAnswerToASafeRequestWhileNoOtherTargetCanBeUsed failed before.

--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/BufferedCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/BufferedCall.java
@@ -205,7 +205,14 @@
 
     /** Retries a safe request on another target when no response head has arrived within the timeout. */
     private void onHeadTimeout(Attempt waiting) {
-        if (isDone() || attempt != waiting || head != null || !sendHistory.allowsRetry()) {
+        if (!isDone() && attempt == waiting && head == null) {
+            retryIfOtherHasCapacity(waiting, waiting.target().entry().id() + " sent no response head in time");
+        }
+    }
+
+    /** Gives up an attempt that may still be answered, but only for a target that can take the request now. */
+    private void retryIfOtherHasCapacity(Attempt waiting, String reason) {
+        if (!admitted.route().isIdempotent() || !sendHistory.allowsRetry()) {
             return;
         }
         sendHistory.exclude(waiting.target().entry().instanceId());
@@ -214,10 +221,11 @@
         if (hasOtherTarget
                 && context.retryBudget()
                         .tryAcquire(admitted.service().name(), RetryBudgetShare.Purpose.RESUME_OR_BUFFERED)) {
+            headTimeout.cancel();
             waiting.target().onFailure();
             waiting.cancel();
             sendHistory.onMayHaveRun();
-            retry(waiting.target().entry().id() + " sent no response head in time");
+            retry(reason);
         }
     }
 
@@ -250,10 +258,15 @@
     @Override
     public void onTargetDown(String instanceId, TargetLoss loss) {
         Attempt current = attempt;
-        if (current != null && current.usesInstance(instanceId)) {
-            current.cancel();
-            handleFailure(current, LinkFailure.BROKEN);
+        if (current == null || !current.usesInstance(instanceId)) {
+            return;
+        }
+        if (loss == TargetLoss.SILENT) {
+            retryIfOtherHasCapacity(current, instanceId + " is silent");
+            return;
         }
+        current.cancel();
+        handleFailure(current, LinkFailure.BROKEN);
     }
 
     // End
--- a/siskinlead-core/src/test/java/org/siskinlead/core/forwarding/SilentTargetTest.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/forwarding/SilentTargetTest.java
@@ -113,6 +113,45 @@
         assertThat(beside.cancelled).isTrue();
     }
 
+    // Guards against an unknown outcome of a request that its target, silent for a second, would have answered.
+    @Test
+    void waitsForTheAnswerToARequestThatMustNotBeRepeated() {
+        RecordedReply answered = bed.send("/unsafe/x");
+        ReceivedRequest sent = bed.link.last();
+        bed.forwarder.onDownNotice(sent.dispatch.target().instanceId(), List.of());
+        bed.timers.advance(500);
+        sent.respond(200);
+
+        assertThat(sent.cancelled).isFalse();
+        assertThat(answered.answer.status()).isEqualTo(200);
+    }
+
+    // Guards against a failure of a safe request whose target is silent for a second while no other can be used.
+    @Test
+    void waitsForTheAnswerToASafeRequestWhileNoOtherTargetCanBeUsed() {
+        RecordedReply answered = bed.send("/safe/x");
+        ReceivedRequest sent = bed.link.last();
+        for (String target : List.of("p0", "p1", "p2")) {
+            bed.registry.find(target).orElseThrow().avoid(SILENCE_MS);
+        }
+        bed.forwarder.onDownNotice(sent.dispatch.target().instanceId(), List.of());
+        bed.timers.advance(500);
+        sent.respond(200);
+
+        assertThat(answered.answer.status()).isEqualTo(200);
+    }
+
+    @Test
+    void asksAnotherTargetAtOnceForTheAnswerToASafeRequest() {
+        RecordedReply answered = bed.send("/safe/x");
+        ReceivedRequest sent = bed.link.last();
+        bed.forwarder.onDownNotice(sent.dispatch.target().instanceId(), List.of());
+        assertThat(bed.link.last()).isNotSameInstanceAs(sent);
+        bed.link.last().respond(200);
+
+        assertThat(answered.answer.status()).isEqualTo(200);
+    }
+
     private void fallSilentAfterEvents(long events) {
         first.startStream();
         first.sendEvents(1, events);
