Accept a stream while draining only if it ends in time at the pace that streams have

Now the slowest average gap of a stream of the service in the last 5 to 10 s counts, half as much again for the load that new streams add, and 2 s for a wait or a lost path; while no pace is known, the longest gap for which a stream is on time. What does not fit is refused at once as not run, so that its caller goes to another daemon. The engines' steps per pass are read from the configuration.

--- a/siskinlead-core/src/main/java/org/siskinlead/core/catalog/EngineSpec.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/catalog/EngineSpec.java
@@ -16,6 +16,7 @@
  * @param maxConcurrentLoads number of concurrent loads that the weight store serves at full speed
  * @param meanPromptTokens mean length of a prompt, in tokens
  * @param meanAnswerTokens mean length of an answer, in tokens
+ * @param stepsPerPass decode steps of a pass, whose tokens are written as one event
  * @param slots number of requests that an engine runs concurrently as first hop of a chain
  * @param kinds accelerator kinds by name
  */
@@ -32,6 +33,7 @@
         int maxConcurrentLoads,
         int meanPromptTokens,
         int meanAnswerTokens,
+        int stepsPerPass,
         int slots,
         Map<String, AcceleratorKind> kinds) {
     private static final double BYTES_PER_MB = 1_000_000;
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/AdmittedRequest.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/AdmittedRequest.java
@@ -38,6 +38,8 @@
         TRIAL
     }
 
+    /** Longest answer in tokens, assumed when the caller gives no maximum. */
+    private static final int DEFAULT_MAX_ANSWER_TOKENS = 250;
     /** Answer length in tokens, assumed for a service without an engine when the caller gives no estimate. */
     private static final int DEFAULT_ANSWER_TOKENS = 256;
 
@@ -54,6 +56,11 @@
         return request.promptTokens() + (double) answer;
     }
 
+    /** Gets the maximum number of tokens of the answer. */
+    int maxAnswerTokens() {
+        return request.maxAnswerTokens() > 0 ? request.maxAnswerTokens() : DEFAULT_MAX_ANSWER_TOKENS;
+    }
+
     /** Gets the longest pause between events for which a stream is on time, in milliseconds. */
     long eventGapObjectiveMillis() {
         return route.eventGapObjectiveMillis() > 0 ? route.eventGapObjectiveMillis() : route.latencyObjectiveMillis();
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/Forwarder.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/Forwarder.java
@@ -42,12 +42,6 @@
     private static final long STALL_CHECK_INTERVAL_MS = 10;
     /** Delay of a stall check beyond which this process is taken to have been paused. */
     private static final long PROCESS_PAUSE_MS = 80;
-    /** Estimated time per token of a stream: what engines need with 40 concurrent streams, plus 25 %. */
-    private static final long STREAM_TOKEN_MS = 25;
-    /** Estimated time to the first event of a stream. */
-    private static final long STREAM_START_MS = 500;
-    /** Answer length assumed for the duration of a stream whose request sets no maximum. */
-    private static final long DEFAULT_ANSWER_TOKENS = 250;
     /** Time budget of a request that gives none. */
     private static final long DEFAULT_TIME_BUDGET_MS = 30_000;
 
@@ -127,6 +121,7 @@
                 prober,
                 rateLimits,
                 new ResponseMemory(),
+                StreamPace.of(timers),
                 counters,
                 random,
                 daemonCount);
@@ -338,10 +333,6 @@
             Catalog current,
             Route route,
             @Nullable Team team) {
-        if (maxDurationMillis(request, route) > drainEndsAt - receivedAt) {
-            refuse(request, reply, RefusalCode.DRAINING, "this daemon is draining");
-            return;
-        }
         String serviceName = route.chooseService(context.random());
         Optional<Service> service = current.service(serviceName);
         if (service.isEmpty()) {
@@ -359,6 +350,10 @@
                 receivedAt + Math.min(timeBudgetMillis, route.timeoutMillis()),
                 receivedAt + timeBudgetMillis,
                 AdmittedRequest.Role.ORDINARY);
+        if (drainEndsAt != Long.MAX_VALUE && maxDurationMillis(admitted) > drainEndsAt - receivedAt) {
+            refuse(request, reply, RefusalCode.DRAINING, "this daemon is draining");
+            return;
+        }
         if (!context.suspects().isEmpty() && context.suspects().isBlocked(admitted.fingerprint())) {
             refuse(request, reply, RefusalCode.TARGET_CRASHES, "targets crashed while running this request");
             return;
@@ -413,11 +408,11 @@
     }
 
     /** Estimates the longest duration of a request, for draining. */
-    private static long maxDurationMillis(IncomingRequest request, Route route) {
-        long tokens = request.maxAnswerTokens() > 0 ? request.maxAnswerTokens() : DEFAULT_ANSWER_TOKENS;
-        long work =
-                route.kind() == RouteKind.STREAM ? tokens * STREAM_TOKEN_MS + STREAM_START_MS : route.timeoutMillis();
-        return Math.min(work, route.timeoutMillis());
+    private long maxDurationMillis(AdmittedRequest admitted) {
+        long timeoutMillis = admitted.route().timeoutMillis();
+        return admitted.route().kind() == RouteKind.STREAM
+                ? Math.min(timeoutMillis, context.streamPace().maxDurationMillis(admitted))
+                : timeoutMillis;
     }
 
     private static int priority(Route route, @Nullable Team team) {
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/ForwardingContext.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/ForwardingContext.java
@@ -20,6 +20,7 @@
         TargetProber prober,
         TargetRateLimits rateLimits,
         ResponseMemory responseMemory,
+        StreamPace streamPace,
         ForwardingCounters counters,
         RandomGenerator random,
         IntSupplier daemonCount) {}
--- /dev/null
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamPace.java
@@ -0,0 +1,66 @@
+package org.siskinlead.core.forwarding;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.siskinlead.core.catalog.EngineSpec;
+import org.siskinlead.core.time.Timers;
+
+/**
+ * Estimates how long a stream may take, by the pace of the slowest recent one of its service. For work that must end
+ * before a given time, as while this daemon drains.
+ */
+final class StreamPace {
+    /** Half of the time over which the slowest pace is remembered. */
+    private static final long WINDOW_MS = 5_000;
+    /** Ratio by which a stream may be slower than any recent one; the load of a target grows with each new stream. */
+    private static final double SLOWER_FACTOR = 1.5;
+    /** Time for which a stream may be held up: it waits for capacity, or loses its path and is resumed. */
+    private static final long HELD_UP_MS = 2_000;
+
+    private final Timers timers;
+    private final Map<String, Window> windows = new HashMap<>();
+
+    private static final class Window {
+        private long startedAt;
+        private double slowestMillis;
+        private double slowestBeforeMillis;
+
+        void rotate(long now) {
+            if (now - startedAt >= WINDOW_MS) {
+                slowestBeforeMillis = now - startedAt < 2 * WINDOW_MS ? slowestMillis : 0;
+                slowestMillis = 0;
+                startedAt = now;
+            }
+        }
+    }
+
+    private StreamPace(Timers timers) {
+        this.timers = timers;
+    }
+
+    static StreamPace of(Timers timers) {
+        return new StreamPace(timers);
+    }
+
+    /**
+     * Records the pace of a stream.
+     * @param service name of its service
+     * @param gapMillis its average gap between events, in milliseconds
+     */
+    void onEvents(String service, double gapMillis) {
+        Window window = windows.computeIfAbsent(service, s -> new Window());
+        window.rotate(timers.nowMillis());
+        window.slowestMillis = Math.max(window.slowestMillis, gapMillis);
+    }
+
+    /** Estimates the longest duration of a stream that is on time, in milliseconds. */
+    long maxDurationMillis(AdmittedRequest admitted) {
+        Window window = windows.computeIfAbsent(admitted.service().name(), s -> new Window());
+        window.rotate(timers.nowMillis());
+        double slowestMillis = Math.max(window.slowestMillis, window.slowestBeforeMillis);
+        double gapMillis = slowestMillis > 0 ? SLOWER_FACTOR * slowestMillis : admitted.eventGapObjectiveMillis();
+        EngineSpec engine = admitted.service().engine();
+        double events = Math.ceil(admitted.maxAnswerTokens() / (double) (engine == null ? 1 : engine.stepsPerPass()));
+        return HELD_UP_MS + admitted.route().latencyObjectiveMillis() + Math.round(events * gapMillis);
+    }
+}
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamTiming.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamTiming.java
@@ -85,6 +85,11 @@
         return writingSince >= 0 && timers.nowMillis() - writingSince >= millis;
     }
 
+    /** Gets the average gap between events, in milliseconds. */
+    double averageGapMillis() {
+        return averageGapMillis;
+    }
+
     /** Gets the time from receipt of the request to the first event; -1 before that event. */
     long firstEventMillis() {
         return firstEventMillis;
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamingCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamingCall.java
@@ -237,6 +237,7 @@
         // A target that has written for as long as its longest pause may be lives on.
         if (timing.hasWrittenFor(admitted.eventGapObjectiveMillis())) {
             onProven();
+            context.streamPace().onEvents(admitted.service().name(), timing.averageGapMillis());
         }
     }
 
--- a/siskinlead-core/src/test/java/org/siskinlead/core/fakes/Fleets.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/fakes/Fleets.java
@@ -39,6 +39,7 @@
                 6,
                 772,
                 167,
+                2,
                 134,
                 KINDS.stream().collect(java.util.stream.Collectors.toMap(AcceleratorKind::name, k -> k)));
     }
--- /dev/null
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/forwarding/DrainingForwarderTest.java
@@ -0,0 +1,74 @@
+package org.siskinlead.core.forwarding;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.siskinlead.core.fakes.FakeTargetLink.ReceivedRequest;
+import org.siskinlead.core.fakes.ForwardingTestBed;
+import org.siskinlead.core.fakes.RecordedReply;
+import org.siskinlead.core.serving.RequestOutcome;
+
+/** Tests which streams a daemon accepts while it drains: those that end in time at the pace that streams have. */
+class DrainingForwarderTest {
+    /** Events of an answer with the number of tokens that requests of the test bed ask for. */
+    private static final int EVENTS = 80;
+    /** Gap for which streams of the test bed are on time. */
+    private static final long ON_TIME_GAP_MS = 200;
+
+    private final ForwardingTestBed bed = new ForwardingTestBed();
+
+    @BeforeEach
+    void startStreams() {
+        bed.send("/stream/slow");
+        bed.link.last().startStream();
+    }
+
+    // Guards against streams that are accepted during a planned stop and cut at its end, as targets write slowly.
+    @Test
+    void refusesAStreamThatWouldOutlastTheDrainAtThePaceOfTheOthers() {
+        writeEvents(bed.link.last(), 20, 75);
+        bed.forwarder.drainUntil(bed.timers.nowMillis() + EVENTS * 75);
+        RecordedReply reply = bed.send("/stream/x");
+
+        assertThat(reply.refusal.outcome()).isEqualTo(RequestOutcome.NOT_RUN);
+        assertThat(reply.refusal.retryAfterMillis()).isGreaterThan(0);
+    }
+
+    // Guards against streams that are accepted during a planned stop and cut, as nothing was known of their pace.
+    @Test
+    void takesStreamsForAsSlowAsTheyMayBeWhileNoPaceIsKnown() {
+        bed.forwarder.drainUntil(bed.timers.nowMillis() + EVENTS * ON_TIME_GAP_MS);
+        assertThat(bed.send("/stream/x").refusal).isNotNull();
+    }
+
+    @Test
+    void acceptsAStreamThatEndsInTime() {
+        writeEvents(bed.link.last(), 60, 20);
+        bed.forwarder.drainUntil(bed.timers.nowMillis() + 7_600);
+        RecordedReply reply = bed.send("/stream/x");
+
+        assertThat(reply.refusal).isNull();
+        assertThat(bed.link.received).hasSize(2);
+    }
+
+    // Guards against a pace that is judged by one stream of many.
+    @Test
+    void judgesByTheSlowestStream() {
+        ReceivedRequest slow = bed.link.last();
+        writeEvents(slow, 20, 90);
+        bed.send("/stream/fast");
+        bed.link.last().startStream();
+        writeEvents(bed.link.last(), 60, 20);
+        bed.forwarder.drainUntil(bed.timers.nowMillis() + 7_600);
+
+        assertThat(bed.send("/stream/x").refusal).isNotNull();
+    }
+
+    private void writeEvents(ReceivedRequest sent, int events, long gapMillis) {
+        for (int id = 1; id <= events; id++) {
+            sent.sendEvents(id, id);
+            bed.timers.advance(gapMillis);
+        }
+    }
+}
