Let a stream wait for a target that is only marked as down

Cause: a target that is marked as down was taken for one that cannot run the stream any more. Now only one that leaves, is gone or has ended is; a crash excludes its target for each stream. Ruled out: the retry budget (the streams had two sends each).

ResumedStreamTest.waitsForATargetThatWasSilentForAMoment failed before.

--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/SendHistory.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/SendHistory.java
@@ -88,7 +88,7 @@
 
     private boolean mayRunAgain(Tried tried) {
         return tried.mayHaveRun()
-                && tried.target().isAvailable()
+                && tried.target().isInService()
                 && !excludedInstances.contains(tried.target().entry().instanceId());
     }
 
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamingCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamingCall.java
@@ -62,8 +62,7 @@
 
     @Override
     void sendOrWait() {
-        boolean mayTryNow = queue.length() == 0 || isRetryOrResume();
-        if (mayTryNow && trySend()) {
+        if ((queue.length() == 0 || isRetryOrResume()) && trySend()) {
             return;
         }
         boolean pathExists = chooser.choose(admitted, sendHistory.excludedInstances(), CapacityCheck.SKIPPED)
@@ -306,6 +305,7 @@
     public void onTargetDown(String instanceId, TargetLoss loss) {
         if (loss == TargetLoss.ENDED) {
             runs.cancelSilentOn(instanceId);
+            sendHistory.exclude(instanceId);
         }
         Attempt current = attempt;
         if (current == null && started && !runs.hasSilent() && !sendHistory.allowsResume()) {
@@ -320,7 +320,6 @@
             return;
         }
         current.cancel();
-        sendHistory.exclude(instanceId);
         sendHistory.onMayHaveRun();
         lastFailure = instanceId + " was found down";
         retryOrGiveUp(lastFailure, RetryBudgetShare.Cost.BUDGETED);
@@ -427,8 +426,7 @@
     /** Gets the current path of the stream; null while the request is queued or when one target runs it alone. */
     @Nullable
     HopPath path() {
-        Attempt current = attempt;
-        return current == null ? null : current.path();
+        return attempt == null ? null : attempt.path();
     }
 
     /**
--- a/siskinlead-core/src/main/java/org/siskinlead/core/registry/TargetHealth.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/registry/TargetHealth.java
@@ -77,7 +77,15 @@
      * @return false while it is leaving, removed or marked down
      */
     public boolean isAvailable() {
-        return !leaving && !removed && !isDown();
+        return isInService() && !isDown();
+    }
+
+    /**
+     * Checks whether the target is registered and stays, even if it is marked down for now.
+     * @return false once it is leaving or removed
+     */
+    public boolean isInService() {
+        return !leaving && !removed;
     }
 
     /**
--- a/siskinlead-core/src/test/java/org/siskinlead/core/forwarding/ResumedStreamTest.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/forwarding/ResumedStreamTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.siskinlead.core.fakes.FakeTargetLink.ReceivedRequest;
 import org.siskinlead.core.fakes.Fleets;
@@ -89,6 +90,31 @@
         assertThat(events).isAtLeast(6L);
     }
 
+    // Guards against streams that are cut because the last target that they may use seems to be down for a moment.
+    @Test
+    void waitsForATargetThatWasSilentForAMoment() {
+        bed.registry.find("west-low").orElseThrow().avoid(10);
+        RecordedReply reply = bed.send("/stream/x");
+        begin(bed.link.last(), 0, 2);
+        bed.timers.advance(20);
+        bed.registry.find("east-low").orElseThrow().avoid(10);
+        loseLaterEngine(bed.link.last(), "spare");
+        begin(bed.link.last(), 2, 4);
+        bed.registry.unregister("east-low");
+        bed.registry.register(Fleets.engine("west-spare", "west", "h100", new LayerRange(40, 80)));
+        assertThat(bed.link.last().dispatch.target().id()).isEqualTo("west-low");
+        String later =
+                bed.link.last().dispatch.path().hops().get(1).target().entry().instanceId();
+        bed.forwarder.onDownNotice("west-low@1", List.of());
+        bed.forwarder.onDownNotice(later, List.of("another request"));
+
+        assertThat(reply.isOpen()).isTrue();
+        bed.registry.find("west-low").orElseThrow().clearDown();
+        bed.timers.advance(20);
+        finish(5, 9);
+        assertThat(reply.complete).isTrue();
+    }
+
     // Guards against the text of an error in the middle of a stream, and against a stream that ends there.
     @Test
     void goesOnElsewhereWhenTheTargetThatShouldResumeItAnswersWithAnError() {
