Take a target that said it leaves, and refuses a probe, for ended

Cause: only another instance with the target's id or address proved that it had ended, so a target that had left as announced counted towards the maximum for ever. The rule on BUDGET leaves out servers that ended meanwhile.

Now a target that has said by its entry or in an answer that it leaves, and refuses the connection of a probe, has ended. A refusal or a removed entry alone still proves nothing (MaxAttemptsTest, unchanged).

MaxAttemptsTest.doesNotCountATargetThatSaidItLeavesAndRefusesAProbe failed before.

--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/TargetProber.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/TargetProber.java
@@ -304,7 +304,8 @@
                 "forMs",
                 DOWN_PERIOD_MS);
         target.markDown(DOWN_PERIOD_MS);
-        if (health == TargetLink.Health.REPLACED) {
+        boolean hasLeft = health == TargetLink.Health.CRASHED && target.isLeaving();
+        if (health == TargetLink.Health.REPLACED || hasLeft) {
             target.markEnded();
         }
         timers.after(FIRST_RECHECK_DELAY_MS, () -> recheck(target));
--- a/siskinlead-core/src/main/java/org/siskinlead/core/registry/TargetHealth.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/registry/TargetHealth.java
@@ -88,6 +88,14 @@
         return !leaving && !removed;
     }
 
+    /**
+     * Checks whether the target has said that it is about to stop.
+     * @return true once its entry or one of its answers has said so
+     */
+    public boolean isLeaving() {
+        return leaving;
+    }
+
     /**
      * Checks whether the target is marked as crashed or unresponsive.
      * @return true until the period given to {@link #markDown} has passed or the state was cleared
@@ -105,8 +113,8 @@
     }
 
     /**
-     * Checks whether this instance is known to have ended. A removed entry or a refused connection does not prove it.
-     * @return true if another instance has its id or answers at its address
+     * Checks whether this instance is known to have ended. A removed entry or a refused connection alone does not prove it.
+     * @return true if another instance has its id or answers at its address, or it said that it leaves and refuses connections
      */
     public boolean hasEnded() {
         return ended;
--- a/siskinlead-core/src/test/java/org/siskinlead/core/forwarding/MaxAttemptsTest.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/forwarding/MaxAttemptsTest.java
@@ -79,6 +79,20 @@
         assertThat(targetsReached()).hasSize(MAX_ATTEMPTS + 1);
     }
 
+    // Guards against streams that are cut because two targets of theirs have left, as announced, within seconds.
+    @Test
+    void doesNotCountATargetThatSaidItLeavesAndRefusesAProbe() {
+        bed.send("/stream/x");
+        ReceivedRequest first = bed.link.last();
+        bed.registry.onLeaving(bed.registry.find(first.dispatch.target().id()).orElseThrow());
+        bed.link.healthByTarget.put(first.dispatch.target().id(), TargetLink.Health.CRASHED);
+        first.fail(LinkFailure.BROKEN);
+        bed.timers.advance(20);
+        bed.link.last().fail(LinkFailure.BROKEN);
+
+        assertThat(targetsReached()).hasSize(MAX_ATTEMPTS + 1);
+    }
+
     @Test
     void doesNotCountATargetAtWhoseAddressAnotherInstanceAnswers() {
         bed.send("/stream/x");
