Require keys also while the list of teams is empty

Cause: Catalog took an empty list of teams for a missing one, and a configuration without teams requires no key.

--- a/siskinlead-core/src/main/java/org/siskinlead/core/catalog/Catalog.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/catalog/Catalog.java
@@ -8,6 +8,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import org.jspecify.annotations.Nullable;
 
 /** Immutable snapshot of the operator's configuration, indexed for request routing. */
 public final class Catalog {
@@ -22,11 +23,11 @@
             long version,
             Collection<Route> routes,
             Collection<Service> services,
-            Collection<Team> teams,
+            @Nullable Collection<Team> teams,
             CallerLimits limits) {
         this.version = version;
         this.limits = limits;
-        this.hasTeams = !teams.isEmpty();
+        this.hasTeams = teams != null;
         routes.forEach(r ->
                 routesByHost.computeIfAbsent(r.host(), h -> new ArrayList<>()).add(r));
         routesByHost
@@ -35,7 +36,8 @@
                         Comparator.comparingInt((Route r) -> r.prefix().length())
                                 .reversed()));
         services.forEach(s -> this.services.put(s.name(), s));
-        teams.forEach(t -> t.keys().forEach(key -> teamsByKey.put(key, t)));
+        Collection<Team> known = teams == null ? List.of() : teams;
+        known.forEach(t -> t.keys().forEach(key -> teamsByKey.put(key, t)));
     }
 
     /**
@@ -43,7 +45,7 @@
      * @param version number that increases with each change
      * @param routes routes in any order; the longest matching prefix of a host wins
      * @param services services that routes refer to
-     * @param teams teams that may send requests; if empty, no route requires a key
+     * @param teams teams that may send requests, none if empty; if null, no route requires a key
      * @param limits limits on requests from callers
      * @return the catalog
      */
@@ -51,7 +53,7 @@
             long version,
             Collection<Route> routes,
             Collection<Service> services,
-            Collection<Team> teams,
+            @Nullable Collection<Team> teams,
             CallerLimits limits) {
         return new Catalog(version, routes, services, teams, limits);
     }
@@ -109,7 +111,7 @@
     /**
      * Checks whether requests of a route must carry an API key.
      * @param route route of this catalog
-     * @return true if teams are configured and the route does not allow anonymous requests
+     * @return true if there is a list of teams, even an empty one, and the route does not allow anonymous requests
      */
     public boolean requiresKey(Route route) {
         return hasTeams && !route.anonymous();
