Blame no request for the end of a target that left as announced

Cause: an engine that had announced that it leaves, and then refused a probe, was taken for a crash, and all requests that were running on it for suspects of that. A stream whose path lost two such engines was blocked like one that crashes its targets, and so was each repetition of it for 60 s.

Now only a target in service can crash; the end of another one is still a loss. A notice of a daemon that has not yet seen the announcement is held against the own registry.

ResumedStreamTest.isNotSuspectedOfTheEndOfTargetsThatLeftAsAnnounced failed before.

--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/TargetLossHandler.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/TargetLossHandler.java
@@ -58,9 +58,17 @@
     /** Handles a down notice of another daemon. */
     void onDownNotice(String instanceId, List<String> fingerprints) {
         String id = instanceId.substring(0, Math.max(0, instanceId.lastIndexOf('@')));
-        onCrash(instanceId, fingerprints);
-        if (!fingerprints.isEmpty()
-                || !context.prober().requestsBrokenOn(instanceId).isEmpty()) {
+        boolean left = context.registry()
+                .find(id)
+                .filter(t -> t.entry().instanceId().equals(instanceId))
+                .map(t -> !t.isInService())
+                .orElse(false);
+        if (!left) {
+            onCrash(instanceId, fingerprints);
+        }
+        boolean hasSuspects = !fingerprints.isEmpty()
+                || !context.prober().requestsBrokenOn(instanceId).isEmpty();
+        if (hasSuspects && !left) {
             reportSuspects(instanceId);
         }
         context.registry()
@@ -77,7 +85,8 @@
     void onTargetDown(TargetProber.Finding finding) {
         String instanceId = finding.target().entry().instanceId();
         List<String> fingerprints = new ArrayList<>();
-        if (finding.health() != TargetLink.Health.SILENT) {
+        // A target that leaves has ended as announced, whatever was running there.
+        if (finding.health() != TargetLink.Health.SILENT && finding.target().isInService()) {
             for (ForwardedCall call : running) {
                 if (call.usesInstance(instanceId)) {
                     fingerprints.add(call.admitted().fingerprint());
--- a/siskinlead-core/src/test/java/org/siskinlead/core/forwarding/ResumedStreamTest.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/forwarding/ResumedStreamTest.java
@@ -115,6 +115,25 @@
         assertThat(reply.complete).isTrue();
     }
 
+    // Guards against streams that are cut because planned ends of targets are taken for crashes that they have caused.
+    @Test
+    void isNotSuspectedOfTheEndOfTargetsThatLeftAsAnnounced() {
+        RecordedReply reply = bed.send("/stream/x");
+        for (int left = 0; left < 3; left++) {
+            ReceivedRequest sent = bed.link.last();
+            begin(sent, 2 * left, 2 * left + 2);
+            RegisteredTarget later = sent.dispatch.path().hops().get(1).target().entry();
+            bed.registry.register(Fleets.engine("spare-" + left, later.dataCentre(), "h100", new LayerRange(40, 80)));
+            bed.registry.onLeaving(bed.registry.find(later.id()).orElseThrow());
+            bed.link.healthByTarget.put(later.id(), TargetLink.Health.CRASHED);
+            bed.timers.advance(400);
+            assertThat(bed.link.last()).isNotSameInstanceAs(sent);
+        }
+
+        finish(7, 9);
+        assertThat(reply.complete).isTrue();
+    }
+
     // Guards against the text of an error in the middle of a stream, and against a stream that ends there.
     @Test
     void goesOnElsewhereWhenTheTargetThatShouldResumeItAnswersWithAnError() {
