Keep the run that has written when the next target is silent too

Now the run that has written stays the kept one, and a kept run that is refused is dropped. SilentTargetTest .keepsTheRunThatHasWrittenWhenTheNextTargetIsSilentToo failed before; .goesOnElsewhereWhenTheSilentTargetRefusesInTheEnd passed before.

--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/AbstractForwardedCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/AbstractForwardedCall.java
@@ -152,6 +152,21 @@
         return faulty;
     }
 
+    final void recordQueued(long waitMillis, boolean pathExists) {
+        context.counters().increment(Count.QUEUED);
+        context.timeline()
+                .record(
+                        EventKind.REQUEST_QUEUED,
+                        "request",
+                        admitted.request().id(),
+                        "ahead",
+                        queue.length(),
+                        "atMostMs",
+                        waitMillis,
+                        "pathExists",
+                        pathExists);
+    }
+
     final void recordMalformed(RuntimeException cause) {
         context.timeline()
                 .record(EventKind.REQUEST_RETRIED, "request", admitted.request().id(), "reason", cause);
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamRuns.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamRuns.java
@@ -40,9 +40,8 @@
         current = StreamRun.of(attempt);
     }
 
-    /** Keeps the current run as the silent one, without its memory, and cancels the one that was kept before. */
+    /** Keeps the current run as the silent one, without its memory. */
     void keepAsSilent() {
-        cancelSilent();
         silent = current;
         if (silent != null) {
             silent.attempt().releaseMemory();
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamingCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamingCall.java
@@ -75,18 +75,7 @@
             refuse(RefusalCode.QUEUE_FULL, "too many requests are queued for target capacity");
             return;
         }
-        context.counters().increment(Count.QUEUED);
-        context.timeline()
-                .record(
-                        EventKind.REQUEST_QUEUED,
-                        "request",
-                        admitted.request().id(),
-                        "ahead",
-                        queue.length(),
-                        "atMostMs",
-                        waitMillis,
-                        "pathExists",
-                        pathExists);
+        recordQueued(waitMillis, pathExists);
         queue.add(this, waitMillis);
     }
 
@@ -149,7 +138,9 @@
     @Override
     public void onHead(Attempt from, TargetResponse response) {
         recordSignals(from, response);
-        if (!response.isAuthentic()) {
+        if (runs.isSilent(from) && !(response.isAuthentic() && response.isSuccess())) {
+            runs.cancelSilent();
+        } else if (!response.isAuthentic()) {
             from.cancel();
             handleFailure(from, LinkFailure.MALFORMED);
         } else if (response.notRun() || response.status() == MISDIRECTED_REQUEST) {
@@ -316,7 +307,7 @@
             return;
         }
         if (loss == TargetLoss.SILENT) {
-            resumeBeside(instanceId + " is silent");
+            resumeBeside(current, instanceId + " is silent");
             return;
         }
         current.cancel();
@@ -371,12 +362,17 @@
     }
 
     /** Sends the stream elsewhere while its current run is kept; the first of both that writes an event stays. */
-    private void resumeBeside(String reason) {
+    private void resumeBeside(Attempt current, String reason) {
         sendHistory.onMayHaveRun();
         if (started ? !sendHistory.allowsResume() : !sendHistory.allowsRetry()) {
             return;
         }
-        runs.keepAsSilent();
+        if (runs.hasSilent()) {
+            // The current run has written nothing yet.
+            current.cancel();
+        } else {
+            runs.keepAsSilent();
+        }
         lastFailure = reason;
         retryOrGiveUp(reason, RetryBudgetShare.Cost.BUDGETED);
     }
@@ -447,7 +443,7 @@
             return;
         }
         current.target().onFailure();
-        resumeBeside(instanceId + " stopped making progress");
+        resumeBeside(current, instanceId + " stopped making progress");
     }
 
     /** Excludes a pause of this process from the stream's timing, so that no target is suspected for it. */
--- a/siskinlead-core/src/test/java/org/siskinlead/core/forwarding/SilentTargetTest.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/forwarding/SilentTargetTest.java
@@ -62,6 +62,37 @@
         assertThat(reply.events.toString()).isEqualTo(RecordedReply.streamText(1, 3));
     }
 
+    // Guards against a second send that is lost sight of when the silent target refuses after all.
+    @Test
+    void goesOnElsewhereWhenTheSilentTargetRefusesInTheEnd() {
+        bed.forwarder.onDownNotice(first.dispatch.target().instanceId(), List.of());
+        ReceivedRequest second = bed.link.last();
+        first.respondNotRun(503);
+
+        assertThat(bed.link.last()).isSameInstanceAs(second);
+        second.startStream();
+        second.sendEvents(1, 3);
+        second.endStream();
+        assertThat(reply.complete).isTrue();
+        assertThat(bed.forwarder.inFlight()).isEqualTo(0);
+        assertThat(reservedMemory()).isWithin(1e-6).of(0);
+    }
+
+    // Guards against streams that are cut when two sound targets are silent one after the other.
+    @Test
+    void keepsTheRunThatHasWrittenWhenTheNextTargetIsSilentToo() {
+        fallSilentAfterEvents(5);
+        ReceivedRequest second = bed.link.last();
+        bed.forwarder.onDownNotice(second.dispatch.target().instanceId(), List.of());
+        bed.timers.advance(SILENCE_MS);
+
+        assertThat(first.cancelled).isFalse();
+        assertThat(second.cancelled).isTrue();
+        first.sendEvents(6, 9);
+        first.endStream();
+        assertThat(reply.complete).isTrue();
+    }
+
     // Guards against events of two runs in one stream: one run writes, and the other one is cancelled.
     @Test
     void continuesWithTheOtherTargetIfThatWritesFirst() {
