Take only decimal digits for the port of an address

The daemon connects, but the path that it sends to engines names the address as written, which they refuse.

Cause: Integer.parseInt. Now such an entry names no target. OddEntryTest.skipsEntriesWhosePortIsOutOfRange failed before; its other three tests passed before. Entries in use and in events of a watch go through the same decoder; that was read, not played.

--- a/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/Addresses.java
+++ b/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/Addresses.java
@@ -41,6 +41,10 @@
     }
 
     private static int parsePort(String digits, String text) {
+        // Integer.parseInt also takes a sign and the digits of other scripts.
+        if (!digits.chars().allMatch(c -> c >= '0' && c <= '9')) {
+            throw new IllegalArgumentException("\"" + text + "\" has a port that is not a number");
+        }
         try {
             int port = Integer.parseInt(digits);
             if (port > 0 && port <= MAX_PORT) {
