Name each request that is cut, and what was judged when it was accepted

No line of the log named a request that had been passed on and got no complete answer; around a planned stop one had to be found among all REQUEST_ENDED, and nothing told what a draining daemon had expected of it.

REQUEST_CUT (WARN) has the cause (the stop, the targets, the time, a slow reader, a suspicion of crashes), the last target instance, the time since the drain began and until its end, the last event, and the estimate by which a draining daemon took the request, which REQUEST_ADMITTED has too. DRAIN_DONE tells how many were cut; requests.cut and requests.cut_by_stop count them. Warnings may use 200 further lines a second, so that requests cut together are all named.

--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/AbstractForwardedCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/AbstractForwardedCall.java
@@ -237,11 +237,11 @@
             sendHistory.onMayHaveRun();
         }
         if (sendHistory.sendCount() == 0) {
-            end("blocked", RefusalCode.PROMPT_PART_BLOCKED.status());
+            end(Ending.NOT_RUN, "blocked", RefusalCode.PROMPT_PART_BLOCKED.status());
             context.counters().incrementRefusals(RefusalCode.PROMPT_PART_BLOCKED);
             reply.refuse(context.crashWatch().refusal(admitted));
         } else {
-            giveUp(CrashWatch.BLOCKED_DETAIL);
+            giveUp(Ending.SUSPECTED, CrashWatch.BLOCKED_DETAIL);
         }
     }
 
@@ -259,7 +259,11 @@
         }
     }
 
-    void giveUp(String reason) {
+    final void giveUp(String reason) {
+        giveUp(Ending.TARGETS_FAILED, reason);
+    }
+
+    void giveUp(Ending ending, String reason) {
         if (done) {
             return;
         }
@@ -268,13 +272,13 @@
             return;
         }
         Refusal refusal = failureRefusal(reason);
-        finish(reason, refusal.code().status());
+        finish(ending, reason, refusal.code().status());
         context.counters().incrementRefusals(refusal.code());
         reply.refuse(refusal);
     }
 
     final void endAtDeadline() {
-        end("deadline passed", RefusalCode.DEADLINE_EXCEEDED.status());
+        end(Ending.TIMED_OUT, "deadline passed", RefusalCode.DEADLINE_EXCEEDED.status());
         context.counters().incrementRefusals(RefusalCode.DEADLINE_EXCEEDED);
         reply.refuse(Refusal.failed(RefusalCode.DEADLINE_EXCEEDED, "deadline passed", 0));
     }
@@ -283,7 +287,7 @@
     public final void onCallerDisconnected() {
         if (!done) {
             context.counters().increment(Count.CALLER_LEFT);
-            end("caller left", 0);
+            end(Ending.CALLER_LEFT, "caller left", 0);
         }
     }
 
@@ -291,7 +295,7 @@
     public void terminate(String reason) {
         if (sendHistory.mayHaveRun() || attempt != null) {
             Refusal refusal = failureRefusal(reason);
-            end(reason, refusal.code().status());
+            end(Ending.DAEMON_STOPPED, reason, refusal.code().status());
             context.counters().incrementRefusals(refusal.code());
             reply.refuse(refusal);
         } else {
@@ -308,22 +312,22 @@
         if (done) {
             return;
         }
-        end(detail, code.status());
+        end(Ending.NOT_RUN, detail, code.status());
         context.counters().incrementRefusals(code);
         reply.refuse(Refusal.notRun(code, detail, retryAfterMillis));
     }
 
     /** Records the outcome and cancels the current attempt. */
-    final void end(String reason, int status) {
+    final void end(Ending ending, String reason, int status) {
         Attempt current = attempt;
-        finish(reason, status);
+        finish(ending, reason, status);
         if (current != null) {
             current.cancel();
         }
     }
 
     /** Records the outcome of a request without an active attempt. */
-    void finish(String reason, int status) {
+    void finish(Ending ending, String reason, int status) {
         if (done) {
             return;
         }
@@ -348,6 +352,9 @@
                 context.timers().nowMillis() - admitted.receivedAt()));
         fields.addAll(outcomeDetails());
         context.timeline().record(EventKind.REQUEST_ENDED, fields.toArray());
+        if (ending.isCut() && sendHistory.sendCount() > 0) {
+            CutRecorder.record(context, admitted, sendHistory, ending, reason, status, outcomeDetails());
+        }
         onDone.run();
     }
 }
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/AdmittedRequest.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/AdmittedRequest.java
@@ -3,6 +3,7 @@
 import java.util.HashSet;
 import java.util.Set;
 import java.util.stream.Collectors;
+import org.jspecify.annotations.Nullable;
 import org.siskinlead.core.catalog.EngineSpec;
 import org.siskinlead.core.catalog.Route;
 import org.siskinlead.core.catalog.Service;
@@ -21,6 +22,7 @@
  * @param deadlineAt time at which the response is due: the earlier of the caller's and the route's timeout
  * @param callerTimeoutAt time at which the caller stops waiting
  * @param role whether the request is blocked, and sent only to find out if it still has to be
+ * @param drainEstimate judgement by which it was accepted while this daemon drains; null before
  */
 record AdmittedRequest(
         IncomingRequest request,
@@ -31,7 +33,8 @@
         long receivedAt,
         long deadlineAt,
         long callerTimeoutAt,
-        Role role) {
+        Role role,
+        @Nullable DrainEstimate drainEstimate) {
     /** Role of a request. */
     enum Role {
         ORDINARY,
@@ -81,7 +84,21 @@
 
     AdmittedRequest asTrial() {
         return new AdmittedRequest(
-                request, route, service, team, priority, receivedAt, deadlineAt, callerTimeoutAt, Role.TRIAL);
+                request,
+                route,
+                service,
+                team,
+                priority,
+                receivedAt,
+                deadlineAt,
+                callerTimeoutAt,
+                Role.TRIAL,
+                drainEstimate);
+    }
+
+    AdmittedRequest withDrainEstimate(DrainEstimate estimate) {
+        return new AdmittedRequest(
+                request, route, service, team, priority, receivedAt, deadlineAt, callerTimeoutAt, role, estimate);
     }
 
     boolean isTrial() {
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/BufferedCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/BufferedCall.java
@@ -173,7 +173,7 @@
                 .increment(
                         tookMillis > admitted.route().latencyObjectiveMillis() ? Count.ANSWERED_LATE : Count.ANSWERED);
         context.counters().recordLatency(Latency.ANSWER, tookMillis);
-        finish("answered", response.status());
+        finish(Ending.ANSWERED, "answered", response.status());
         reply.respond(response, body.toByteArray());
     }
 
@@ -284,10 +284,10 @@
     }
 
     @Override
-    void finish(String reason, int status) {
+    void finish(Ending ending, String reason, int status) {
         headTimeout.cancel();
         context.responseMemory().release(this);
-        super.finish(reason, status);
+        super.finish(ending, reason, status);
     }
 
     @Override
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/Forwarder.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/Forwarder.java
@@ -16,6 +16,7 @@
 import org.siskinlead.core.catalog.Service;
 import org.siskinlead.core.catalog.Team;
 import org.siskinlead.core.crash.CrashReports;
+import org.siskinlead.core.forwarding.DrainEstimate.Basis;
 import org.siskinlead.core.forwarding.ForwardingCounters.Count;
 import org.siskinlead.core.freshness.Freshness;
 import org.siskinlead.core.ratelimit.TargetRateLimits;
@@ -57,7 +58,6 @@
     private final List<Runnable> awaitingProof = new ArrayList<>();
     private int awaitingTrial;
     private @Nullable Catalog catalog;
-    private long drainEndsAt = Long.MAX_VALUE;
     private long lastStallCheckAt;
 
     /** Notifies the other daemons of targets found down. */
@@ -122,6 +122,7 @@
                 rateLimits,
                 new ResponseMemory(),
                 StreamPace.of(timers),
+                DrainState.of(timers),
                 counters,
                 random,
                 daemonCount);
@@ -211,7 +212,7 @@
      * @param monotonicMillis time at which this daemon stops, in milliseconds of the monotonic clock
      */
     public void drainUntil(long monotonicMillis) {
-        drainEndsAt = monotonicMillis;
+        context.drain().drainUntil(monotonicMillis);
     }
 
     /**
@@ -349,13 +350,22 @@
                 receivedAt,
                 receivedAt + Math.min(timeBudgetMillis, route.timeoutMillis()),
                 receivedAt + timeBudgetMillis,
-                AdmittedRequest.Role.ORDINARY);
-        if (drainEndsAt != Long.MAX_VALUE && maxDurationMillis(admitted) > drainEndsAt - receivedAt) {
-            refuse(request, reply, RefusalCode.DRAINING, "this daemon is draining");
-            return;
+                AdmittedRequest.Role.ORDINARY,
+                null);
+        if (context.drain().isDraining()) {
+            DrainEstimate estimate = estimate(admitted);
+            if (!estimate.endsInTime()) {
+                refuse(request, reply, RefusalCode.DRAINING, "this daemon is draining");
+                return;
+            }
+            admitted = admitted.withDrainEstimate(estimate);
         }
+        acceptUnlessSuspected(admitted, reply, handle);
+    }
+
+    private void acceptUnlessSuspected(AdmittedRequest admitted, Reply reply, Handle handle) {
         if (!context.suspects().isEmpty() && context.suspects().isBlocked(admitted.fingerprint())) {
-            refuse(request, reply, RefusalCode.TARGET_CRASHES, "targets crashed while running this request");
+            refuse(admitted.request(), reply, RefusalCode.TARGET_CRASHES, "targets crashed while running this request");
             return;
         }
         if (context.crashWatch().isBlocked(admitted)) {
@@ -386,8 +396,7 @@
     private void accept(AdmittedRequest admitted, Reply reply, Handle handle) {
         IncomingRequest request = admitted.request();
         context.retryBudget().onRequest(admitted.service().name());
-        timeline.record(
-                EventKind.REQUEST_ADMITTED,
+        List<Object> fields = new ArrayList<>(List.of(
                 "request",
                 request.id(),
                 "route",
@@ -403,16 +412,24 @@
                 "priority",
                 admitted.priority(),
                 "inFlight",
-                running.size());
+                running.size()));
+        fields.addAll(CutRecorder.describe(admitted));
+        timeline.record(EventKind.REQUEST_ADMITTED, fields.toArray());
         start(admitted, reply, handle);
     }
 
-    /** Estimates the longest duration of a request, for draining. */
-    private long maxDurationMillis(AdmittedRequest admitted) {
-        long timeoutMillis = admitted.route().timeoutMillis();
-        return admitted.route().kind() == RouteKind.STREAM
-                ? Math.min(timeoutMillis, context.streamPace().maxDurationMillis(admitted))
-                : timeoutMillis;
+    private DrainEstimate estimate(AdmittedRequest admitted) {
+        DrainState drain = context.drain();
+        long maxMillis = admitted.route().timeoutMillis();
+        Basis basis = Basis.TIMEOUT;
+        if (admitted.route().kind() == RouteKind.STREAM) {
+            long streamMillis = context.streamPace().maxDurationMillis(admitted);
+            if (streamMillis < maxMillis) {
+                maxMillis = streamMillis;
+                basis = context.streamPace().isKnown(admitted.service().name()) ? Basis.PACE : Basis.OBJECTIVE;
+            }
+        }
+        return new DrainEstimate(maxMillis, basis, drain.sinceBeginMillis(), drain.leftMillis());
     }
 
     private static int priority(Route route, @Nullable Team team) {
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/ForwardingContext.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/ForwardingContext.java
@@ -21,6 +21,7 @@
         TargetRateLimits rateLimits,
         ResponseMemory responseMemory,
         StreamPace streamPace,
+        DrainState drain,
         ForwardingCounters counters,
         RandomGenerator random,
         IntSupplier daemonCount) {}
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/ForwardingCounters.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/ForwardingCounters.java
@@ -17,6 +17,10 @@
         STREAMS_BEGUN,
         STREAMS_COMPLETE,
         STREAMS_ABORTED,
+        /** Requests passed on to a target whose callers got no complete answer, unless they disconnected. */
+        CUT,
+        /** Of these, requests that still ran when this daemon stopped. */
+        CUT_BY_STOP,
         /** Retries of streams whose response has started. */
         STREAMS_RESUMED,
         /** All other retries. */
@@ -82,6 +86,15 @@
         refusals.merge(code, 1L, Long::sum);
     }
 
+    /**
+     * Gets a count.
+     * @param what the count
+     * @return its value since the start
+     */
+    public long get(Count what) {
+        return counts.getOrDefault(what, 0L);
+    }
+
     /**
      * Lists the counts that are not zero.
      * @return values by metric name, {@code requests.*} and {@code refusals.*}
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/SendHistory.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/SendHistory.java
@@ -17,6 +17,7 @@
     /** Targets to which the request was sent, with the number of sends, by instance. */
     private final Map<String, Tried> triedTargets = new HashMap<>();
 
+    private String lastInstance = "";
     private boolean mayHaveRun;
     private int sendCount;
     private int connectFailures;
@@ -39,6 +40,11 @@
         return excludedInstances;
     }
 
+    /** Gets the target instance to which the request was sent last, empty when it was not sent. */
+    String lastInstance() {
+        return lastInstance;
+    }
+
     int sendCount() {
         return sendCount;
     }
@@ -105,6 +111,7 @@
 
     void onSent(TargetHealth target) {
         sendCount++;
+        lastInstance = target.entry().instanceId();
         triedTargets.merge(
                 target.entry().instanceId(),
                 new Tried(target, 1, 0),
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamPace.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamPace.java
@@ -51,11 +51,20 @@
         window.slowestMillis = Math.max(window.slowestMillis, gapMillis);
     }
 
+    /** Tells whether streams of a service were observed of late. */
+    boolean isKnown(String service) {
+        return slowestMillis(service) > 0;
+    }
+
+    private double slowestMillis(String service) {
+        Window window = windows.computeIfAbsent(service, s -> new Window());
+        window.rotate(timers.nowMillis());
+        return Math.max(window.slowestMillis, window.slowestBeforeMillis);
+    }
+
     /** Estimates the longest duration of a stream that is on time, in milliseconds. */
     long maxDurationMillis(AdmittedRequest admitted) {
-        Window window = windows.computeIfAbsent(admitted.service().name(), s -> new Window());
-        window.rotate(timers.nowMillis());
-        double slowestMillis = Math.max(window.slowestMillis, window.slowestBeforeMillis);
+        double slowestMillis = slowestMillis(admitted.service().name());
         double gapMillis = slowestMillis > 0 ? SLOWER_FACTOR * slowestMillis : admitted.eventGapObjectiveMillis();
         EngineSpec engine = admitted.service().engine();
         double events = Math.ceil(admitted.maxAnswerTokens() / (double) (engine == null ? 1 : engine.stepsPerPass()));
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamingCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamingCall.java
@@ -205,7 +205,7 @@
             handleFailure(from, LinkFailure.MALFORMED);
         } else if (reply.isReaderSlow()) {
             from.cancel();
-            abort("caller reads too slowly");
+            abort(Ending.READER_SLOW, "caller reads too slowly");
         }
     }
 
@@ -238,7 +238,7 @@
         if (response == null) {
             handleFailure(from, LinkFailure.MALFORMED);
         } else if (!response.isSuccess()) {
-            finish("failed by target", response.status());
+            finish(Ending.ANSWERED, "failed by target", response.status());
             reply.respond(response, source.failureBody());
         } else if (source.isInsideEvent()) {
             handleFailure(from, LinkFailure.BROKEN);
@@ -249,7 +249,7 @@
             context.counters().increment(Count.STREAMS_COMPLETE);
             context.counters().recordLatency(Latency.FIRST_EVENT, timing.firstEventMillis());
             context.counters().recordLatency(Latency.LONGEST_PAUSE, timing.longestPauseMillis());
-            finish("complete", response.status());
+            finish(Ending.ANSWERED, "complete", response.status());
             reply.endStream();
         }
     }
@@ -396,20 +396,20 @@
     }
 
     @Override
-    void finish(String reason, int status) {
+    void finish(Ending ending, String reason, int status) {
         runs.cancelSilent();
-        super.finish(reason, status);
+        super.finish(ending, reason, status);
     }
 
     @Override
-    void giveUp(String reason) {
+    void giveUp(Ending ending, String reason) {
         if (runs.hasSilent() && !isDone()) {
             // Nothing else can run the stream; its target may still go on.
             continueSilentRun();
         } else if (started) {
-            abort(reason);
+            abort(ending, reason);
         } else {
-            super.giveUp(reason);
+            super.giveUp(ending, reason);
         }
     }
 
@@ -456,7 +456,7 @@
     @Override
     void onDeadline() {
         if (started) {
-            abort("deadline passed");
+            abort(Ending.TIMED_OUT, "deadline passed");
         } else if (sendHistory.sendCount() > 0) {
             endAtDeadline();
         } else {
@@ -467,18 +467,18 @@
     @Override
     public void terminate(String reason) {
         if (started) {
-            abort(reason);
+            abort(Ending.DAEMON_STOPPED, reason);
         } else {
             super.terminate(reason);
         }
     }
 
-    private void abort(String reason) {
+    private void abort(Ending ending, String reason) {
         if (isDone()) {
             return;
         }
         context.counters().increment(Count.STREAMS_ABORTED);
-        end(reason, 0);
+        end(ending, reason, 0);
         reply.abort();
     }
 
--- a/siskinlead-core/src/main/java/org/siskinlead/core/gateway/Gateway.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/gateway/Gateway.java
@@ -8,6 +8,7 @@
 import org.siskinlead.core.catalog.Catalog;
 import org.siskinlead.core.crash.CrashReports;
 import org.siskinlead.core.forwarding.Forwarder;
+import org.siskinlead.core.forwarding.ForwardingCounters;
 import org.siskinlead.core.forwarding.MeteredTargetLink;
 import org.siskinlead.core.forwarding.RetryBudgetShare;
 import org.siskinlead.core.forwarding.TargetLink;
@@ -383,19 +384,33 @@
         timeline.record(EventKind.DRAIN_BEGUN, "inFlight", forwarder.inFlight(), "graceMs", graceMillis);
         roster.leave();
         forwarder.drainUntil(timers.nowMillis() + Math.round(ABORT_AT_GRACE_FRACTION * graceMillis));
-        pollDrain(timers.nowMillis(), graceMillis, onDone);
+        pollDrain(timers.nowMillis(), graceMillis, cutCount(), onDone);
     }
 
-    private void pollDrain(long startedAtMillis, long graceMillis, Runnable onDone) {
+    private long cutCount() {
+        return forwarder.counters().get(ForwardingCounters.Count.CUT);
+    }
+
+    private void pollDrain(long startedAtMillis, long graceMillis, long cutBefore, Runnable onDone) {
         long elapsedMillis = timers.nowMillis() - startedAtMillis;
         boolean idle = forwarder.inFlight() == 0 && elapsedMillis >= MIN_DRAIN_MS;
         if (!idle && elapsedMillis < ABORT_AT_GRACE_FRACTION * graceMillis) {
-            timers.after(DRAIN_POLL_INTERVAL_MS, () -> pollDrain(startedAtMillis, graceMillis, onDone));
+            timers.after(DRAIN_POLL_INTERVAL_MS, () -> pollDrain(startedAtMillis, graceMillis, cutBefore, onDone));
             return;
         }
-        timeline.record(EventKind.DRAIN_DONE, "tookMs", elapsedMillis, "cut", forwarder.inFlight());
+        int inFlight = forwarder.inFlight();
         forwarder.drainUntil(timers.nowMillis());
         forwarder.terminateAll("the daemon shut down before the request ended");
+        timeline.record(
+                EventKind.DRAIN_DONE,
+                "tookMs",
+                elapsedMillis,
+                "inFlight",
+                inFlight,
+                "cut",
+                cutCount() - cutBefore,
+                "cutByStop",
+                forwarder.counters().get(ForwardingCounters.Count.CUT_BY_STOP));
         onDone.run();
     }
 }
--- a/siskinlead-core/src/main/java/org/siskinlead/core/timeline/EventKind.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/timeline/EventKind.java
@@ -9,6 +9,8 @@
     REQUEST_RETRIED,
     REQUEST_RESUMED,
     REQUEST_ENDED,
+    /** A request that was passed on to a target ended without a complete answer to its caller. */
+    REQUEST_CUT,
     /** A target did not answer, or was found down, and receives no requests until it recovers. */
     TARGET_SUSPECTED,
     TARGET_RECOVERED,
--- a/siskinlead-daemon/src/main/java/org/siskinlead/daemon/EventLog.java
+++ b/siskinlead-daemon/src/main/java/org/siskinlead/daemon/EventLog.java
@@ -17,6 +17,8 @@
     private static final LazyLogger LOG = LazyLogger.of("events");
     /** Twice the rate of request events on the busiest VM, by the load figures that users gave. */
     private static final int MAX_LINES_PER_SECOND = 400;
+    /** Further lines that only warnings may use, so that requests cut together at a stop are all named. */
+    private static final int MAX_WARNINGS_PER_SECOND = 200;
 
     /** Events held back at most; the start of a daemon records one for each target and daemon. */
     private static final int MAX_HELD_EVENTS = 2_000;
@@ -74,7 +76,9 @@
      * @param event event whose kind determines the log level
      */
     public static void write(TimelineEvent event) {
-        if (holdIfHolding(event) || !LOG.get().isEnabled(levelOf(event.kind())) || !tryAcquireLine()) {
+        if (holdIfHolding(event)
+                || !LOG.get().isEnabled(levelOf(event.kind()))
+                || !tryAcquireLine(levelOf(event.kind()))) {
             return;
         }
         log(event, "");
@@ -91,13 +95,14 @@
         LOG.get().log(levelOf(event.kind()), message);
     }
 
-    private static synchronized boolean tryAcquireLine() {
+    private static synchronized boolean tryAcquireLine(Level level) {
         long now = System.nanoTime();
         if (now - secondStartedAtNanos >= SECOND_NANOS) {
             secondStartedAtNanos = now;
             linesThisSecond = 0;
         }
-        if (linesThisSecond >= MAX_LINES_PER_SECOND) {
+        int maxLines = MAX_LINES_PER_SECOND + (level.isMoreSpecificThan(Level.WARN) ? MAX_WARNINGS_PER_SECOND : 0);
+        if (linesThisSecond >= maxLines) {
             dropped++;
             return false;
         }
@@ -108,6 +113,7 @@
     private static Level levelOf(EventKind kind) {
         return switch (kind) {
             case LIMIT_MOVED, KEY_CLAIMED, KEY_RESOLVED -> Level.DEBUG;
+            case REQUEST_CUT -> Level.WARN;
             case INVARIANT_VIOLATED -> Level.ERROR;
             default -> Level.INFO;
         };
