Leave streams to other daemons while this one drains

Cause: a draining daemon accepted a stream if it was expected to end in time, whether or not another daemon was there to take it. Nobody knows how long a stream will run: engines slow down after it was accepted, or its path is lost. Its Retry-After of 500 ms was for callers that have nowhere else to go; alone it misses a latency objective of 500 ms.

While the roster lists another daemon, and the store keeps the roster up to date, streams are refused at once as not run, with a Retry-After of 20 ms. Without another daemon, or while the store is lost (daemons that have left stay listed until their leases end), it accepts as before. Safe and unsafe requests are accepted while their whole timeout fits, as before.

GatewayTest.leavesStreamsToOtherDaemonsWhileItDrains failed before ("expected not to be: null", the stream was accepted). acceptsStreamsWhileEveryDaemonDrains and sendsNoCallerAwayByARosterThatIsNotKept hold before and after.

--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/AbstractForwardedCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/AbstractForwardedCall.java
@@ -299,7 +299,7 @@
             context.counters().incrementRefusals(refusal.code());
             reply.refuse(refusal);
         } else {
-            refuse(RefusalCode.DRAINING, reason);
+            refuseAsDraining(reason);
         }
     }
 
@@ -308,6 +308,10 @@
         refuse(code, detail, new RetryAfterJitter(context.random()).drawMillis(admitted.route()));
     }
 
+    final void refuseAsDraining(String detail) {
+        refuse(RefusalCode.DRAINING, detail, context.drain().retryAfterMillis());
+    }
+
     private void refuse(RefusalCode code, String detail, long retryAfterMillis) {
         if (done) {
             return;
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/CutRecorder.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/CutRecorder.java
@@ -27,7 +27,7 @@
         if (ending == Ending.DAEMON_STOPPED) {
             context.counters().increment(Count.CUT_BY_STOP);
         }
-        DrainState drain = context.drain();
+        DrainPolicy drain = context.drain();
         List<Object> fields = new ArrayList<>(List.of(
                 "request",
                 admitted.request().id(),
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/Forwarder.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/Forwarder.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.IntSupplier;
 import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
@@ -16,7 +17,6 @@
 import org.siskinlead.core.catalog.Service;
 import org.siskinlead.core.catalog.Team;
 import org.siskinlead.core.crash.CrashReports;
-import org.siskinlead.core.forwarding.DrainEstimate.Basis;
 import org.siskinlead.core.forwarding.ForwardingCounters.Count;
 import org.siskinlead.core.freshness.Freshness;
 import org.siskinlead.core.ratelimit.TargetRateLimits;
@@ -108,6 +108,7 @@
             IntSupplier daemonCount,
             RandomGenerator random) {
         ForwardingCounters counters = new ForwardingCounters();
+        StreamPace streamPace = StreamPace.of(timers);
         TargetLink metered = MeteredTargetLink.of(link, rateLimits);
         TargetProber prober = new TargetProber(timers, timeline, registry, metered, counters, daemonCount);
         ForwardingContext context = new ForwardingContext(
@@ -121,8 +122,8 @@
                 prober,
                 rateLimits,
                 new ResponseMemory(),
-                StreamPace.of(timers),
-                DrainState.of(timers),
+                streamPace,
+                DrainPolicy.of(timers, streamPace),
                 counters,
                 random,
                 daemonCount);
@@ -215,6 +216,14 @@
         context.drain().drainUntil(monotonicMillis);
     }
 
+    /**
+     * Sets the check whether callers that this daemon refuses while it drains find another one.
+     * @param check true while another daemon accepts requests
+     */
+    public void setOthersServe(BooleanSupplier check) {
+        context.drain().setOthersServe(check);
+    }
+
     /**
      * Ends every request that is still running.
      * @param reason outcome to record
@@ -353,8 +362,8 @@
                 AdmittedRequest.Role.ORDINARY,
                 null);
         if (context.drain().isDraining()) {
-            DrainEstimate estimate = estimate(admitted);
-            if (!estimate.endsInTime()) {
+            DrainEstimate estimate = context.drain().estimate(admitted);
+            if (context.drain().isLeftToOthers(admitted) || !estimate.endsInTime()) {
                 refuse(request, reply, RefusalCode.DRAINING, "this daemon is draining");
                 return;
             }
@@ -418,20 +427,6 @@
         start(admitted, reply, handle);
     }
 
-    private DrainEstimate estimate(AdmittedRequest admitted) {
-        DrainState drain = context.drain();
-        long maxMillis = admitted.route().timeoutMillis();
-        Basis basis = Basis.TIMEOUT;
-        if (admitted.route().kind() == RouteKind.STREAM) {
-            long streamMillis = context.streamPace().maxDurationMillis(admitted);
-            if (streamMillis < maxMillis) {
-                maxMillis = streamMillis;
-                basis = context.streamPace().isKnown(admitted.service().name()) ? Basis.PACE : Basis.OBJECTIVE;
-            }
-        }
-        return new DrainEstimate(maxMillis, basis, drain.sinceBeginMillis(), drain.leftMillis());
-    }
-
     private static int priority(Route route, @Nullable Team team) {
         Integer teamPriority = team == null ? null : team.priority();
         return teamPriority == null ? route.priority() : teamPriority;
@@ -450,7 +445,14 @@
 
     private void refuse(IncomingRequest request, Reply reply, RefusalCode code, String detail) {
         recordRefusal(request, code, detail);
-        reply.refuse(Refusal.notRun(code, detail, code.status() == SERVICE_UNAVAILABLE ? RETRY_AFTER_MS : 0));
+        reply.refuse(Refusal.notRun(code, detail, retryAfterMillis(code)));
+    }
+
+    private long retryAfterMillis(RefusalCode code) {
+        if (code == RefusalCode.DRAINING) {
+            return context.drain().retryAfterMillis();
+        }
+        return code.status() == SERVICE_UNAVAILABLE ? RETRY_AFTER_MS : 0;
     }
 
     private void recordRefusal(IncomingRequest request, RefusalCode code, String detail) {
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/ForwardingContext.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/ForwardingContext.java
@@ -21,7 +21,7 @@
         TargetRateLimits rateLimits,
         ResponseMemory responseMemory,
         StreamPace streamPace,
-        DrainState drain,
+        DrainPolicy drain,
         ForwardingCounters counters,
         RandomGenerator random,
         IntSupplier daemonCount) {}
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamPace.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamPace.java
@@ -62,10 +62,18 @@
         return Math.max(window.slowestMillis, window.slowestBeforeMillis);
     }
 
-    /** Estimates the longest duration of a stream that is on time, in milliseconds. */
+    /** Estimates the longest duration of a stream by the pace of recent ones of its service, in milliseconds. */
     long maxDurationMillis(AdmittedRequest admitted) {
-        double slowestMillis = slowestMillis(admitted.service().name());
-        double gapMillis = slowestMillis > 0 ? SLOWER_FACTOR * slowestMillis : admitted.eventGapObjectiveMillis();
+        return durationMillis(
+                admitted, SLOWER_FACTOR * slowestMillis(admitted.service().name()));
+    }
+
+    /** Gets the longest duration of a stream that is on time, in milliseconds. */
+    static long onTimeDurationMillis(AdmittedRequest admitted) {
+        return durationMillis(admitted, (double) admitted.eventGapObjectiveMillis());
+    }
+
+    private static long durationMillis(AdmittedRequest admitted, double gapMillis) {
         EngineSpec engine = admitted.service().engine();
         double events = Math.ceil(admitted.maxAnswerTokens() / (double) (engine == null ? 1 : engine.stepsPerPass()));
         // A stream that loses its path may be resumed as late as its caller waits for it.
--- a/siskinlead-core/src/main/java/org/siskinlead/core/gateway/Gateway.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/gateway/Gateway.java
@@ -113,6 +113,7 @@
                 ports.renewProof());
         this.crashReports = CrashReports.of(self.vm(), ports.store(), timers, ports.random(), roster::size);
         forwarder.setCrashReports(crashReports);
+        forwarder.setOthersServe(this::othersServe);
         forwarder.setDownNoticePublisher(roster::publishDown);
         roster.setDownListener((instanceId, fingerprints, discovery) -> {
             if (discovery == Roster.Discovery.CHANGED) {
@@ -230,6 +231,11 @@
         return listed.isEmpty() && draining ? List.of(self.address()) : listed;
     }
 
+    /** Tells whether another daemon accepts requests. A roster that the store does not keep up to date says nothing. */
+    private boolean othersServe() {
+        return !storeLost && roster.entries().stream().anyMatch(e -> !e.vm().equals(self.vm()));
+    }
+
     /** Counts the daemons that come before this one in the order of their names. */
     private int rankOnRoster() {
         return (int) roster.entries().stream()
--- a/siskinlead-core/src/test/java/org/siskinlead/core/gateway/GatewayTest.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/gateway/GatewayTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import com.google.common.collect.Range;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
@@ -13,11 +14,17 @@
 import org.junit.jupiter.api.Test;
 import org.siskinlead.core.fakes.FakeLeaseStore;
 import org.siskinlead.core.fakes.FakeTargetLink;
+import org.siskinlead.core.fakes.FakeTargetLink.ReceivedRequest;
+import org.siskinlead.core.fakes.Fleets;
 import org.siskinlead.core.fakes.ForwardingTestBed;
 import org.siskinlead.core.fakes.ManualTimers;
+import org.siskinlead.core.fakes.RecordedReply;
 import org.siskinlead.core.forwarding.RetryBudgetShare;
 import org.siskinlead.core.freshness.Freshness;
 import org.siskinlead.core.roster.RosterEntry;
+import org.siskinlead.core.routing.LayerRange;
+import org.siskinlead.core.serving.RefusalCode;
+import org.siskinlead.core.timeline.EventKind;
 import org.siskinlead.core.timeline.HybridClock;
 import org.siskinlead.core.timeline.Timeline;
 
@@ -30,6 +37,8 @@
     private final ManualTimers timers = new ManualTimers();
     private final FakeLeaseStore store = new FakeLeaseStore(timers);
     private final List<Gateway> gateways = new ArrayList<>();
+    private final List<FakeTargetLink> links = new ArrayList<>();
+    private final List<Timeline> timelines = new ArrayList<>();
 
     @BeforeEach
     void startTwoGateways() {
@@ -39,17 +48,23 @@
         }
         timers.advance(1_000);
         gateways.forEach(g -> g.onProof(Freshness.ClockReading.now(timers)));
+        gateways.forEach(g -> g.registry().register(ForwardingTestBed.plain("p0")));
+        gateways.forEach(g -> g.registry().register(Fleets.engine("low", "east", "h100", new LayerRange(0, 40))));
+        gateways.forEach(g -> g.registry().register(Fleets.engine("high", "east", "h100", new LayerRange(40, 80))));
     }
 
     private Gateway start(String vm) {
         FakeTargetLink link = new FakeTargetLink(timers);
+        links.add(link);
+        Timeline timeline = Timeline.of(vm, HybridClock.of(timers::wallMillis), event -> {});
+        timelines.add(timeline);
         Gateway.Ports ports = new Gateway.Ports(
                 timers, store.client(), link, (target, before, layers, answer) -> {}, () -> {}, new Random(1));
         Gateway gateway = Gateway.start(
                 new RosterEntry(vm, vm + ":1", "east"),
                 ports,
                 new Gateway.Settings(4_000, new RetryBudgetShare.Budget(0.2, 40, 10_000)),
-                Timeline.of(vm, HybridClock.of(timers::wallMillis), event -> {}));
+                timeline);
         store.attach(gateway.roster());
         gateway.onCatalog(ForwardingTestBed.catalog(1, Set.of(ForwardingTestBed.KEY)));
         gateway.onProof(Freshness.ClockReading.now(timers));
@@ -152,4 +167,80 @@
         timers.advance(200);
         assertThat(done[0]).isTrue();
     }
+
+    // Guards against streams that a stopping daemon accepts and cuts, although another one could have taken them.
+    @Test
+    void leavesStreamsToOtherDaemonsWhileItDrains() {
+        Gateway leaving = gateways.get(0);
+        observeFastStreams(leaving);
+        leaving.drain(GRACE_MS, () -> {});
+        timers.advance(200);
+        RecordedReply reply = send(leaving, "/stream/x");
+
+        assertThat(reply.refusal).isNotNull();
+        assertThat(reply.refusal.code()).isEqualTo(RefusalCode.DRAINING);
+        assertThat(reply.refusal.retryAfterMillis()).isIn(Range.closed(1L, 50L));
+        assertThat(send(leaving, "/safe/x").isOpen()).isTrue();
+    }
+
+    // Guards against refusing what nobody else can take.
+    @Test
+    void acceptsStreamsWhileEveryDaemonDrains() {
+        Gateway leaving = gateways.get(0);
+        observeFastStreams(leaving);
+        gateways.forEach(g -> g.drain(GRACE_MS, () -> {}));
+        timers.advance(200);
+
+        assertThat(send(leaving, "/stream/x").isOpen()).isTrue();
+    }
+
+    // Guards against sending callers to daemons that have left, which stay on the roster while the store is lost.
+    @Test
+    void sendsNoCallerAwayByARosterThatIsNotKept() {
+        Gateway leaving = gateways.get(0);
+        observeFastStreams(leaving);
+        leaving.drain(GRACE_MS, () -> {});
+        leaving.onStoreLost("TIMED_OUT");
+        timers.advance(200);
+
+        assertThat(send(leaving, "/stream/x").isOpen()).isTrue();
+    }
+
+    // Guards against records of a planned stop that do not tell how many requests it cut.
+    @Test
+    void tellsHowManyRequestsAreCutAtTheEndOfADrain() {
+        Gateway leaving = gateways.get(0);
+        send(leaving, "/stream/long");
+        leaving.drain(GRACE_MS, () -> {});
+        timers.advance(GRACE_MS);
+
+        Map<String, String> done = timelines
+                .get(0)
+                .list(e -> e.kind() == EventKind.DRAIN_DONE)
+                .get(0)
+                .fields();
+        assertThat(done).containsEntry("inFlight", "1");
+        assertThat(done).containsEntry("cut", "1");
+        assertThat(done).containsEntry("cutByStop", "1");
+    }
+
+    private void observeFastStreams(Gateway gateway) {
+        send(gateway, "/stream/fast");
+        ReceivedRequest sent = links.get(gateways.indexOf(gateway)).last();
+        sent.startStream();
+        for (int id = 1; id <= 60; id++) {
+            sent.sendEvents(id, id);
+            timers.advance(20);
+        }
+        sent.endStream();
+    }
+
+    private RecordedReply send(Gateway gateway, String path) {
+        RecordedReply reply = new RecordedReply();
+        gateway.forwarder()
+                .onRequest(
+                        ForwardingTestBed.request(path, path, ForwardingTestBed.KEY, 20_000, new byte[] {1}, List.of()),
+                        reply);
+        return reply;
+    }
 }
