Trust the pace of recent streams only early in a drain

Callers saw: streams that were sent late in a planned stop cut at its end.

Cause: with no other daemon listed, a draining one accepts a stream that ends in time at one and a half times the slowest recent pace. Engines that slow down by more after that, or a pace that is known from a few fast streams after a start, make this too short, and the later a stream is accepted the less room is left for it.

DrainingForwarderTest.acceptsLateOnlyWhatEndsInTimeAsSlowAsItMayBe failed before ("expected not to be: null").

--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/DrainPolicy.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/DrainPolicy.java
@@ -13,6 +13,11 @@
     /** Time given for a drain that has not begun. */
     static final long NOT_DRAINING = -1;
 
+    /**
+     * Time since the begin of a drain after which the pace of recent streams is no longer trusted. Targets may slow down,
+     * and what is accepted later has less room for that.
+     */
+    private static final long PACE_TRUSTED_MS = 2_500;
     /** {@code Retry-After} while another daemon can take the request at once. */
     private static final long RETRY_ELSEWHERE_MS = 20;
     /** {@code Retry-After} while no other daemon is listed. */
@@ -59,7 +64,8 @@
         long maxMillis = admitted.route().timeoutMillis();
         Basis basis = Basis.TIMEOUT;
         if (admitted.route().kind() == RouteKind.STREAM) {
-            boolean byPace = pace.isKnown(admitted.service().name());
+            boolean byPace = admitted.receivedAt() - begunAt < PACE_TRUSTED_MS
+                    && pace.isKnown(admitted.service().name());
             long streamMillis = byPace ? pace.maxDurationMillis(admitted) : StreamPace.onTimeDurationMillis(admitted);
             if (streamMillis < maxMillis) {
                 maxMillis = streamMillis;
--- a/siskinlead-core/src/test/java/org/siskinlead/core/forwarding/DrainingForwarderTest.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/forwarding/DrainingForwarderTest.java
@@ -2,11 +2,13 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.List;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.siskinlead.core.fakes.FakeTargetLink.ReceivedRequest;
 import org.siskinlead.core.fakes.ForwardingTestBed;
 import org.siskinlead.core.fakes.RecordedReply;
+import org.siskinlead.core.serving.RefusalCode;
 import org.siskinlead.core.serving.RequestOutcome;
 
 /** Tests which streams a daemon accepts while it drains: those that end in time at the pace that streams have. */
@@ -65,6 +67,40 @@
         assertThat(bed.send("/stream/x").refusal).isNotNull();
     }
 
+    // Guards against streams that are accepted late in a planned stop and cut, as targets slow down after that.
+    @Test
+    void acceptsLateOnlyWhatEndsInTimeAsSlowAsItMayBe() {
+        writeEvents(bed.link.last(), 60, 10);
+        bed.forwarder.drainUntil(bed.timers.nowMillis() + 7_600);
+        bed.timers.advance(2_900);
+        RecordedReply longStream = bed.send("/stream/long");
+        RecordedReply shortStream = send("/stream/short", 20, 0);
+
+        assertThat(longStream.refusal).isNotNull();
+        assertThat(longStream.refusal.code()).isEqualTo(RefusalCode.DRAINING);
+        assertThat(shortStream.refusal).isNull();
+    }
+
+    private RecordedReply send(String path, int maxAnswerTokens, long lastEventId) {
+        RecordedReply reply = new RecordedReply();
+        IncomingRequest request = new IncomingRequest(
+                path,
+                "POST",
+                path,
+                "host:80",
+                List.of(),
+                new byte[] {1},
+                ForwardingTestBed.KEY,
+                20_000,
+                700,
+                maxAnswerTokens,
+                maxAnswerTokens,
+                lastEventId,
+                List.of());
+        bed.forwarder.onRequest(request, reply);
+        return reply;
+    }
+
     private void writeEvents(ReceivedRequest sent, int events, long gapMillis) {
         for (int id = 1; id <= events; id++) {
             sent.sendEvents(id, id);
