Judge a stream again when it is sent while the daemon drains

Callers saw: streams cut by a planned stop that had begun late, after a wait for capacity or a target that refused them.

Cause: whether a stream ends before the daemon stops was judged once, when it arrived, and not at all for one that arrived before the signal and was queued.

A stream that no target has run is judged at each attempt to send it, and refused as not run once it cannot end in time; its caller may send it elsewhere instead of losing half an answer.

DrainingForwarderTest.judgesAStreamAgainWhenItIsSentAgain failed before ("expected not to be: null").

--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/DrainPolicy.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/DrainPolicy.java
@@ -59,6 +59,11 @@
         return isDraining() && admitted.route().kind() == RouteKind.STREAM && othersServe.getAsBoolean();
     }
 
+    /** Tells whether a request that is sent now ends before this daemon stops. */
+    boolean endsInTime(AdmittedRequest admitted) {
+        return !isDraining() || estimate(admitted).endsInTime();
+    }
+
     /** Estimates how long a request takes that is sent now. */
     DrainEstimate estimate(AdmittedRequest admitted) {
         long maxMillis = admitted.route().timeoutMillis();
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamingCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamingCall.java
@@ -96,6 +96,10 @@
 
     @Override
     public boolean trySend() {
+        if (!started && !sendHistory.mayHaveRun() && !context.drain().endsInTime(admitted)) {
+            refuseAsDraining("this daemon is draining");
+            return true;
+        }
         Optional<TargetChooser.Choice> choice = chooseWithout(runs.silentInstance());
         if (choice.isEmpty() || !resumption.pay()) {
             return false;
--- a/siskinlead-core/src/test/java/org/siskinlead/core/forwarding/DrainingForwarderTest.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/forwarding/DrainingForwarderTest.java
@@ -81,6 +81,26 @@
         assertThat(shortStream.refusal).isNull();
     }
 
+    // Guards against streams that use up their time before they begin, and are cut by the planned stop.
+    @Test
+    void judgesAStreamAgainWhenItIsSentAgain() {
+        ReceivedRequest slow = bed.link.last();
+        writeEvents(slow, 60, 20);
+        bed.forwarder.drainUntil(bed.timers.nowMillis() + 6_000);
+        RecordedReply reply = bed.send("/stream/x");
+        ReceivedRequest sent = bed.link.last();
+        assertThat(reply.isOpen()).isTrue();
+        bed.timers.advance(350);
+        slow.sendEvents(61, 61);
+        bed.timers.advance(350);
+        sent.respondNotRun(503);
+
+        assertThat(reply.refusal).isNotNull();
+        assertThat(reply.refusal.code()).isEqualTo(RefusalCode.DRAINING);
+        assertThat(reply.refusal.outcome()).isEqualTo(RequestOutcome.NOT_RUN);
+        assertThat(bed.link.received).hasSize(2);
+    }
+
     private RecordedReply send(String path, int maxAnswerTokens, long lastEventId) {
         RecordedReply reply = new RecordedReply();
         IncomingRequest request = new IncomingRequest(
