Judge a resumed stream by the tokens that are left of it

Callers saw: the rest of a broken stream refused by a daemon that drains, though it would have ended in time.

Cause: the head of a resumed stream names the length of the whole answer. Each event before Last-Event-Id had at least one token, so these are subtracted.

DrainingForwarderTest.judgesAResumedStreamByWhatIsLeftOfIt failed before ("expected: null", the rest was refused).

--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamPace.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamPace.java
@@ -75,7 +75,10 @@
 
     private static long durationMillis(AdmittedRequest admitted, double gapMillis) {
         EngineSpec engine = admitted.service().engine();
-        double events = Math.ceil(admitted.maxAnswerTokens() / (double) (engine == null ? 1 : engine.stepsPerPass()));
+        // Each event that the caller has received of a resumed stream had at least one token.
+        long tokens =
+                Math.max(1, admitted.maxAnswerTokens() - admitted.request().lastEventId());
+        double events = Math.ceil(tokens / (double) (engine == null ? 1 : engine.stepsPerPass()));
         // A stream that loses its path may be resumed as late as its caller waits for it.
         return admitted.callerPatienceMillis()
                 + admitted.route().latencyObjectiveMillis()
--- a/siskinlead-core/src/test/java/org/siskinlead/core/forwarding/DrainingForwarderTest.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/forwarding/DrainingForwarderTest.java
@@ -101,6 +101,16 @@
         assertThat(bed.link.received).hasSize(2);
     }
 
+    // Guards against refusing the rest of a stream because its head names the length of the whole.
+    @Test
+    void judgesAResumedStreamByWhatIsLeftOfIt() {
+        writeEvents(bed.link.last(), 40, 90);
+        bed.forwarder.drainUntil(bed.timers.nowMillis() + 7_600);
+
+        assertThat(send("/stream/whole", 160, 0).refusal).isNotNull();
+        assertThat(send("/stream/rest", 160, 140).refusal).isNull();
+    }
+
     private RecordedReply send(String path, int maxAnswerTokens, long lastEventId) {
         RecordedReply reply = new RecordedReply();
         IncomingRequest request = new IncomingRequest(
