Close the listener of a draining server in a moment without new connections

Callers that connect during a planned stop saw their connection reset, before any byte was read, at the moment at which the daemon closed its listening socket. A body sent in pieces is reset at its second piece, which explains the chunked request that the users saw reset 51 ms after its start, 0.2 s before the end of the process.

Cause: drain() accepted once and closed the channel. The JDK closes a socket that is registered with a selector as late as at the next selection; what arrives between is reset by the kernel.

Now the listener is deregistered, accepts by itself until no connection has arrived for 100 ms (at most 300 ms), tries once more and closes the socket in the same call. Connections that arrive meanwhile are read after the close, so callers that connect again after each answer do not arrive in the last moment.

Ruled out: exit with an accepted connection unread (nothing exits in that test). Counts of the connections that remain are passed on, for a later event.

--- a/siskinlead-daemon/src/main/java/org/siskinlead/daemon/Daemon.java
+++ b/siskinlead-daemon/src/main/java/org/siskinlead/daemon/Daemon.java
@@ -94,7 +94,7 @@
 
     private void drain() {
         HttpServer server = Objects.requireNonNull(callers, "callers");
-        node.drain(() -> server.drain(MAX_ANSWER_WAIT_MS, drained::countDown));
+        node.drain(() -> server.drain(MAX_ANSWER_WAIT_MS, connections -> drained.countDown()));
     }
 
     /** Drains the daemon when the JVM receives a termination signal. */
--- a/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/HttpServer.java
+++ b/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/HttpServer.java
@@ -1,17 +1,13 @@
 package org.siskinlead.protocol.http;
 
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.WriteBufferWaterMark;
-import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpObjectAggregator;
@@ -25,6 +21,7 @@
 import java.util.Deque;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 
@@ -42,14 +39,17 @@
     /** Longest wait, when the server drains, for the first request of a connection on which nothing has arrived. */
     private static final long FIRST_REQUEST_WAIT_MS = 1_000;
 
+    /** Longest wait, when the server drains, for a moment in which no connection arrives. */
+    private static final long MAX_QUIET_WAIT_MS = 300;
+
     private static final long DRAIN_POLL_INTERVAL_MS = 10;
 
     private static final byte[] MALFORMED = "malformed HTTP request".getBytes(StandardCharsets.UTF_8);
 
-    private final Channel channel;
+    private final ListeningChannel channel;
     private final ConnectionCounts counts;
 
-    private HttpServer(Channel channel, ConnectionCounts counts) {
+    private HttpServer(ListeningChannel channel, ConnectionCounts counts) {
         this.channel = channel;
         this.counts = counts;
     }
@@ -82,15 +82,11 @@
             InetSocketAddress address, EventLoopGroup group, Supplier<HttpLimits> limits, ExchangeHandler handler)
             throws InterruptedException {
         ConnectionCounts counts = new ConnectionCounts();
-        Channel channel = new ServerBootstrap()
+        ListeningChannel channel = (ListeningChannel) new ServerBootstrap()
                 .group(group)
-                .channel(NioServerSocketChannel.class)
+                .channelFactory(ListeningChannel::new)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
-                // Accepts all that are waiting, so that closing the server cuts off as few as possible.
-                .option(
-                        ChannelOption.RECVBUF_ALLOCATOR,
-                        new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(BACKLOG))
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(
                         ChannelOption.WRITE_BUFFER_WATER_MARK,
@@ -116,35 +112,42 @@
         channel.close();
     }
 
+    /**
+     * Connections of a server at the end of a drain, which are cut when the process exits.
+     * @param busy connections on which a request has begun to arrive and is not yet answered
+     * @param unused connections on which nothing has arrived
+     * @param acceptedLast connections that arrived shortly before the server stopped accepting
+     */
+    public record Drained(int busy, int unused, int acceptedLast) {}
+
     /**
      * Stops accepting connections and waits until every request that has begun to arrive is answered, and the answer
      * handed to the operating system. The handler should refuse what arrives from now on.
      * @param maxMillis longest time to wait, in milliseconds
-     * @param onDrained runs once, on a network thread
+     * @param onDrained called once, on a network thread
      */
-    public void drain(long maxMillis, Runnable onDrained) {
-        channel.eventLoop().execute(() -> {
-            if (channel.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe) {
-                // Accepts those that the operating system holds: closing the socket would reset them.
-                unsafe.read();
-            }
-            channel.close();
-            pollDrained(System.nanoTime(), maxMillis, onDrained);
-        });
+    public void drain(long maxMillis, Consumer<Drained> onDrained) {
+        long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(maxMillis);
+        long maxQuietWaitMillis = Math.min(MAX_QUIET_WAIT_MS, maxMillis / 2);
+        channel.eventLoop()
+                .execute(() -> channel.closeWhenQuiet(
+                        maxQuietWaitMillis,
+                        acceptedLast -> pollDrained(System.nanoTime(), deadlineNanos, acceptedLast, onDrained)));
     }
 
-    private void pollDrained(long startedAtNanos, long maxMillis, Runnable onDrained) {
-        long elapsedMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedAtNanos);
+    private void pollDrained(long closedAtNanos, long deadlineNanos, int acceptedLast, Consumer<Drained> onDrained) {
+        long now = System.nanoTime();
+        long elapsedMillis = TimeUnit.NANOSECONDS.toMillis(now - closedAtNanos);
+        Drained connections = new Drained(counts.busy.get(), counts.unused.get(), acceptedLast);
         boolean mayRequestArrive =
-                elapsedMillis < DRAIN_LINGER_MS || (elapsedMillis < FIRST_REQUEST_WAIT_MS && counts.unused.get() > 0);
-        boolean drained = !mayRequestArrive && counts.busy.get() == 0;
-        if (drained || elapsedMillis >= maxMillis) {
-            onDrained.run();
+                elapsedMillis < DRAIN_LINGER_MS || (elapsedMillis < FIRST_REQUEST_WAIT_MS && connections.unused() > 0);
+        if ((!mayRequestArrive && connections.busy() == 0) || now - deadlineNanos >= 0) {
+            onDrained.accept(connections);
             return;
         }
         channel.eventLoop()
                 .schedule(
-                        () -> pollDrained(startedAtNanos, maxMillis, onDrained),
+                        () -> pollDrained(closedAtNanos, deadlineNanos, acceptedLast, onDrained),
                         DRAIN_POLL_INTERVAL_MS,
                         TimeUnit.MILLISECONDS);
     }
