Take a connection for busy while part of a pipelined request has arrived

Seen by callers: a draining daemon may exit while a request that follows another one on the same connection arrives; and a connection whose request is running is closed when the next, pipelined one stalls for the idle timeout, so the running request gets no answer.

Cause: ConnectionTimeouts knew one request at a time. A response made the connection idle whatever had arrived behind the request, and the timer of the next body did not ask whether an earlier request was unanswered.

Now unanswered requests are counted, and whether bytes have arrived behind the last whole request. The codec does not tell that, so the last byte of each read is passed on by itself: if it completes no request, one is arriving. Timers of an arriving request start when no earlier one is unanswered.

ConnectionTimeoutsTest failed before, in 3 of 5 cases: both drains with "expected to be false", the stalled successor with "expected to end with: /first but was :" (empty). Weighed: a codec of our own that tells its undecoded bytes; it would have to repeat the library's protection against request smuggling.

--- a/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/ConnectionTimeouts.java
+++ b/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/ConnectionTimeouts.java
@@ -1,5 +1,6 @@
 package org.siskinlead.protocol.http;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.HttpContent;
@@ -18,14 +19,24 @@
     private final ConnectionCounts counts;
     private @Nullable Future<?> closeTimer;
     private boolean unused;
-    private boolean receiving;
+    private boolean busy;
+    /** Requests that have arrived whole and are not yet answered. */
+    private int unanswered;
+    /** Whether bytes have arrived after the last whole request. */
+    private boolean arriving;
+    /** Whether the header section of the arriving request is complete. */
+    private boolean arrivingBody;
 
     ConnectionTimeouts(HttpLimits limits, ConnectionCounts counts) {
         this.limits = limits;
         this.counts = counts;
     }
 
-    /** Creates a handler of raw bytes, which times a slowly sent header section from its first byte. */
+    /**
+     * Creates a handler of raw bytes, which times a slowly sent header section from its first byte. It passes on the last
+     * byte by itself: the codec completes a request with its last byte, so the next request has begun to arrive if the
+     * last byte completes none.
+     */
     ChannelInboundHandlerAdapter beforeCodec() {
         return new ChannelInboundHandlerAdapter() {
             @Override
@@ -39,11 +50,16 @@
             @Override
             public void channelRead(ChannelHandlerContext context, Object message) {
                 onUsed();
-                if (!receiving) {
-                    receiving = true;
+                if (!busy) {
+                    busy = true;
                     counts.busy.incrementAndGet();
                     scheduleClose(context, limits.headerMillis());
                 }
+                arriving = true;
+                if (message instanceof ByteBuf bytes && bytes.readableBytes() > 1) {
+                    context.fireChannelRead(bytes.readRetainedSlice(bytes.readableBytes() - 1));
+                    arriving = true;
+                }
                 context.fireChannelRead(message);
             }
 
@@ -64,20 +80,40 @@
             public void channelRead(ChannelHandlerContext context, Object message) {
                 if (message instanceof LastHttpContent) {
                     cancelTimer();
+                    unanswered++;
+                    arriving = false;
+                    arrivingBody = false;
                 } else if (message instanceof HttpRequest || message instanceof HttpContent) {
-                    scheduleClose(context, limits.idleMillis());
+                    arrivingBody = true;
+                    scheduleArrivalTimeout(context);
                 }
                 context.fireChannelRead(message);
             }
         };
     }
 
-    /** Starts the idle timeout until the next request. */
-    void onIdle(ChannelHandlerContext context) {
+    /** Starts the timeout of the next request, after the response to one. */
+    void onResponded(ChannelHandlerContext context) {
+        unanswered--;
+        if (arriving) {
+            scheduleArrivalTimeout(context);
+        } else if (unanswered == 0) {
+            onIdle(context);
+        }
+    }
+
+    private void onIdle(ChannelHandlerContext context) {
         onNotBusy();
         scheduleClose(context, limits.idleMillis());
     }
 
+    /** Limits the time until more of a request arrives, unless the connection is in use for an earlier one. */
+    private void scheduleArrivalTimeout(ChannelHandlerContext context) {
+        if (unanswered == 0) {
+            scheduleClose(context, arrivingBody ? limits.idleMillis() : limits.headerMillis());
+        }
+    }
+
     private void onUsed() {
         if (unused) {
             unused = false;
@@ -86,8 +122,8 @@
     }
 
     private void onNotBusy() {
-        if (receiving) {
-            receiving = false;
+        if (busy) {
+            busy = false;
             counts.busy.decrementAndGet();
         }
     }
--- a/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/HttpServer.java
+++ b/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/HttpServer.java
@@ -221,11 +221,8 @@
 
         private void onResponded(ChannelHandlerContext context) {
             current = null;
-            if (pipelined.isEmpty()) {
-                timeouts.onIdle(context);
-            } else {
-                handleNext();
-            }
+            timeouts.onResponded(context);
+            handleNext();
         }
 
         private void handleNext() {
