Keep the log of a drain, and log the connections that are left at its end

Seen: a daemon that gets SIGTERM within 1.5 s of its start leaves no log at all, and no line says which connections a stop has cut.

Causes: the logging library adds a shutdown hook when it is first used, which is refused once the JVM is terminating ("Shutdown in progress"), so the late set-up of the log failed with ExceptionInInitializerError. The last lines wait in the buffer of the asynchronous appender when the JVM halts.

Now the library adds no hook, and the end of the process waits for the set-up of the log and for the buffer, within the grace period. CONNECTIONS_DRAINED is the last line: connections that are still busy, on which nothing has arrived, or that arrived shortly before the listener closed.

--- a/siskinlead-core/src/main/java/org/siskinlead/core/timeline/EventKind.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/timeline/EventKind.java
@@ -56,5 +56,7 @@
     SETTINGS_RELOADED,
     DRAIN_BEGUN,
     DRAIN_DONE,
+    /** The server for callers has closed its listening socket and is about to exit. */
+    CONNECTIONS_DRAINED,
     INVARIANT_VIOLATED
 }
--- a/siskinlead-daemon/src/main/java/org/siskinlead/daemon/LogSetup.java
+++ b/siskinlead-daemon/src/main/java/org/siskinlead/daemon/LogSetup.java
@@ -12,6 +12,7 @@
 import org.apache.logging.log4j.core.config.ConfigurationSource;
 import org.apache.logging.log4j.core.config.Configurator;
 import org.apache.logging.log4j.core.filter.AbstractFilter;
+import org.apache.logging.log4j.core.util.ShutdownCallbackRegistry;
 import org.apache.logging.log4j.layout.template.json.JsonTemplateLayout;
 import org.jspecify.annotations.Nullable;
 
@@ -30,6 +31,7 @@
     private static final String OUTPUT_APPENDER = "stdout";
     private static final AtomicBoolean INSTALLED = new AtomicBoolean();
     private static final LongAdder DROPPED = new LongAdder();
+    private static volatile @Nullable AsyncAppender buffer;
 
     private LogSetup() {}
 
@@ -39,6 +41,8 @@
      */
     public static void install(Level level) {
         if (INSTALLED.compareAndSet(false, true)) {
+            // The hook of the library cannot be added once the process is terminating, and logging would then fail.
+            System.setProperty(ShutdownCallbackRegistry.SHUTDOWN_HOOK_ENABLED, "false");
             Configurator.initialize(new JsonLinesConfiguration(level));
         }
     }
@@ -56,6 +60,21 @@
         return DROPPED.sum();
     }
 
+    /**
+     * Writes the buffered lines, at the end of the process; later lines are dropped.
+     * @param maxMillis longest time to wait for standard output, in milliseconds
+     * @throws InterruptedException if interrupted while it waits
+     */
+    public static void flush(long maxMillis) throws InterruptedException {
+        AsyncAppender current = buffer;
+        if (current != null && maxMillis > 0) {
+            Thread thread = new Thread(current::stop, "log-flush");
+            thread.setDaemon(true);
+            thread.start();
+            thread.join(maxMillis);
+        }
+    }
+
     /**
      * Drops lines before the buffer is full. The appender itself would report each dropped line on standard error and
      * would block there when standard error is not read either.
@@ -97,18 +116,19 @@
             output.start();
             addAppender(output);
             FullBufferFilter fullBufferFilter = new FullBufferFilter();
-            AsyncAppender buffer = AsyncAppender.newBuilder()
+            AsyncAppender asyncAppender = AsyncAppender.newBuilder()
                     .setName("buffer")
                     .setBlocking(false)
                     .setBufferSize(BUFFERED_LINES)
                     .setAppenderRefs(new AppenderRef[] {AppenderRef.createAppenderRef(OUTPUT_APPENDER, null, null)})
                     .setConfiguration(this)
                     .build();
-            fullBufferFilter.appender = buffer;
-            buffer.addFilter(fullBufferFilter);
-            buffer.start();
-            addAppender(buffer);
-            getRootLogger().addAppender(buffer, null, null);
+            fullBufferFilter.appender = asyncAppender;
+            asyncAppender.addFilter(fullBufferFilter);
+            asyncAppender.start();
+            addAppender(asyncAppender);
+            getRootLogger().addAppender(asyncAppender, null, null);
+            buffer = asyncAppender;
             getRootLogger().setLevel(level);
         }
 
