Own form: add the shutdown hook before the daemon listens

Seen: as on the platform, a SIGTERM as soon as the daemon listens ends it with a request read and its connection reset, and the last log lines are lost.

The hook is added first, a terminating daemon does not start to serve, and the end of the process waits up to 0.5 s for the last log lines. The listener is the same HttpServer, whose close ServerDrainTest covers.

--- a/siskinlead-daemon/src/main/java/org/siskinlead/daemon/Daemon.java
+++ b/siskinlead-daemon/src/main/java/org/siskinlead/daemon/Daemon.java
@@ -38,6 +38,8 @@
     private static final int CONNECT_TIMEOUT_MS = 500;
     /** Longest time after a drain for which answers to the last requests are sent. */
     private static final long MAX_ANSWER_WAIT_MS = 1_000;
+    /** Longest wait, at the end of the process, until standard output has taken the last log lines. */
+    private static final long MAX_LOG_FLUSH_MS = 500;
 
     private final DecisionLoop loop = DecisionLoop.start();
     private final EventLoopGroup eventLoopGroup =
@@ -50,6 +52,7 @@
     private final TargetClient targets;
     private final Supplier<String> ids;
     private volatile @Nullable HttpServer callers;
+    private boolean terminating;
 
     private Daemon(Settings settings) {
         this.settings = settings;
@@ -84,12 +87,26 @@
         peers.listen(node::onPeerMessage, address -> node.membership().onConnectionRefused(address));
         OperatorEndpoints operator = OperatorEndpoints.of(node, metrics(), this::drain);
         EntryServer entry = EntryServer.of(node, loop, ids, operator, settings.operatorTokenSha256());
+        Runtime.getRuntime().addShutdownHook(new Thread(this::drainOnSignal, "drain-on-signal"));
+        startServingUnlessTerminating(entry);
+    }
+
+    /** Starts to serve, unless the process is terminating before any request could be read. */
+    private synchronized void startServingUnlessTerminating(EntryServer entry) throws InterruptedException {
+        if (terminating) {
+            return;
+        }
         callers = HttpServer.start(Addresses.parse(settings.entryAddress()), eventLoopGroup, HttpLimits.CALLERS, entry);
         loop.publish(() -> {
             node.start();
             VmPoller.start(node, platform, targets, loop);
         });
-        Runtime.getRuntime().addShutdownHook(new Thread(this::drainOnSignal, "drain-on-signal"));
+    }
+
+    /** Keeps the daemon from starting to serve. Returns false if it has started, so that it must drain. */
+    private synchronized boolean endBeforeServing() {
+        terminating = true;
+        return callers == null;
     }
 
     private void drain() {
@@ -99,12 +116,13 @@
 
     /** Drains the daemon when the JVM receives a termination signal. */
     private void drainOnSignal() {
-        if (drained.getCount() == 0) {
+        if (drained.getCount() == 0 || endBeforeServing()) {
             return;
         }
         loop.publish(this::drain);
         try {
             drained.await();
+            LogSetup.flush(MAX_LOG_FLUSH_MS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
