Answers without end: what a client of the store, of peers' services or of engines keeps has one bound for all

What callers saw: reports of other operators: a faulty server sent bytes without end, the machine that had called it kept them and ran out of memory, and the requests of all its clients ended with it.

Cause: HttpClient bounded each answer (2 MB) but not their sum. It counted no interim answers, took what follows a 101 as no answer at all (neither kept nor refused), and read on from idle kept connections without a timeout. Each connection was read up to sixteen times before others had their turn. StreamingClient read on after a 101, too.

Ruled out: status line, header, headers, chunk size, chunk extension, trailers and bodies of one answer were bounded before.

Nothing is due on an idle connection, so whatever arrives there closes it, also in the read that brought the answer. More than 8 interim answers, a 101, or more than 1,024 pieces of under 8 bytes are no sound answer. One read of at most 16 KB a turn.

--- a/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/HttpClient.java
+++ b/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/HttpClient.java
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -12,17 +13,21 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.AttributeKey;
 import io.netty.util.concurrent.ScheduledFuture;
+import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -39,11 +44,23 @@
 public final class HttpClient {
     private static final int MAX_IDLE_CONNECTIONS_PER_ADDRESS = 128;
     private static final int MAX_RESPONSE_BYTES = 2_000_000;
+    /** Pieces of a body after which their average size must be at least {@link #MIN_AVERAGE_PIECE_BYTES}. */
+    private static final int MAX_TINY_PIECES = 1_024;
+    /** Smaller pieces cost more to decode than they bring. */
+    private static final int MIN_AVERAGE_PIECE_BYTES = 8;
+    /** Interim responses (1xx) accepted before the final one. */
+    private static final int MAX_INTERIM_RESPONSES = 8;
+    /** Largest read from a connection before other connections have their turn. */
+    private static final int MAX_READ_BYTES = 16_384;
+
+    private static final int MIN_READ_BYTES = 256;
+    private static final int INITIAL_READ_BYTES = 2_048;
     private static final AttributeKey<Exchange> EXCHANGE = AttributeKey.valueOf("exchange");
 
     private final EventLoopGroup group;
     private final int connectTimeoutMillis;
     private final Map<InetSocketAddress, Deque<Channel>> idleChannels = new ConcurrentHashMap<>();
+    private final ReceivedBytes received = new ReceivedBytes();
 
     private HttpClient(EventLoopGroup group, int connectTimeoutMillis) {
         this.group = group;
@@ -159,13 +176,14 @@
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMillis)
+                .option(
+                        ChannelOption.RECVBUF_ALLOCATOR,
+                        new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES)
+                                .maxMessagesPerRead(1))
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel socket) {
-                        socket.pipeline()
-                                .addLast(new HttpClientCodec())
-                                .addLast(new HttpObjectAggregator(MAX_RESPONSE_BYTES))
-                                .addLast(new ResponseHandler());
+                        socket.pipeline().addLast(new HttpClientCodec()).addLast(new ResponseHandler());
                     }
                 })
                 .connect(address);
@@ -214,45 +232,111 @@
         });
     }
 
-    private final class ResponseHandler extends SimpleChannelInboundHandler<FullHttpResponse> {
+    /** Receives one response at a time. It ends with the read that completes it, so that what follows is seen first. */
+    private final class ResponseHandler extends SimpleChannelInboundHandler<HttpObject> {
+        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+        private @Nullable HttpResponse head;
+        private boolean interim;
+        private int interimResponses;
+        private int pieces;
+        private boolean complete;
+
         @Override
-        protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
-            if (response.decoderResult().isFailure()) {
+        protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
+            Exchange exchange = context.channel().attr(EXCHANGE).get();
+            if (exchange == null || complete) {
+                // Belongs to no request.
                 context.close();
-                return;
+            } else if (message.decoderResult().isFailure() || !accept(context, message)) {
+                fail(context);
             }
-            if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-                return;
+        }
+
+        /** Takes the next part of a response; returns false when it cannot belong to a sound one. */
+        private boolean accept(ChannelHandlerContext context, HttpObject message) {
+            if (message instanceof HttpResponse response && !acceptHead(response)) {
+                return false;
             }
-            Exchange exchange = context.channel().attr(EXCHANGE).getAndSet(null);
-            if (exchange == null) {
-                context.close();
+            return !(message instanceof HttpContent content) || interim || acceptContent(context, content);
+        }
+
+        private boolean acceptHead(HttpResponse response) {
+            interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+            if (interim) {
+                interimResponses++;
+                return interimResponses <= MAX_INTERIM_RESPONSES
+                        && !response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS);
+            }
+            head = response;
+            return true;
+        }
+
+        private boolean acceptContent(ChannelHandlerContext context, HttpContent content) {
+            int length = content.content().readableBytes();
+            if (length > 0) {
+                pieces++;
+                byte[] part = new byte[length];
+                content.content().readBytes(part);
+                body.writeBytes(part);
+                received.add(context.channel(), length);
+            }
+            complete = content instanceof LastHttpContent;
+            return body.size() <= MAX_RESPONSE_BYTES
+                    && (pieces <= MAX_TINY_PIECES || body.size() >= MIN_AVERAGE_PIECE_BYTES * pieces);
+        }
+
+        @Override
+        public void channelReadComplete(ChannelHandlerContext context) {
+            endIfComplete(context);
+            context.fireChannelReadComplete();
+        }
+
+        private void endIfComplete(ChannelHandlerContext context) {
+            HttpResponse response = head;
+            Exchange exchange = complete ? context.channel().attr(EXCHANGE).getAndSet(null) : null;
+            if (exchange == null || response == null) {
                 return;
             }
-            byte[] body = new byte[response.content().readableBytes()];
-            response.content().readBytes(body);
+            List<HeaderField> headers = new ArrayList<>();
+            response.headers().forEach(h -> headers.add(new HeaderField(h.getKey(), h.getValue())));
+            Result result = new Result(null, response.status().code(), headers, body.toByteArray());
+            reset(context);
             if (exchange.reuse == Reuse.POOLED && HttpUtil.isKeepAlive(response)) {
                 releaseChannel(exchange.address, context.channel());
             } else {
                 context.close();
             }
-            List<HeaderField> headers = new ArrayList<>();
-            response.headers().forEach(h -> headers.add(new HeaderField(h.getKey(), h.getValue())));
-            exchange.end(new Result(null, response.status().code(), headers, body));
+            exchange.end(result);
+        }
+
+        private void reset(ChannelHandlerContext context) {
+            received.release(context.channel());
+            body.reset();
+            head = null;
+            interimResponses = 0;
+            pieces = 0;
+            complete = false;
         }
 
         @Override
         public void channelInactive(ChannelHandlerContext context) {
-            Exchange exchange = context.channel().attr(EXCHANGE).getAndSet(null);
-            if (exchange != null) {
-                exchange.end(Result.failed(Failure.BROKEN));
-            }
+            endIfComplete(context);
+            fail(context);
         }
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
             context.close();
         }
+
+        private void fail(ChannelHandlerContext context) {
+            reset(context);
+            Exchange exchange = context.channel().attr(EXCHANGE).getAndSet(null);
+            if (exchange != null) {
+                exchange.end(Result.failed(Failure.BROKEN));
+            }
+            context.close();
+        }
     }
 
     private static final class Exchange {
--- a/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/StreamingClient.java
+++ b/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/StreamingClient.java
@@ -20,6 +20,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -39,7 +40,7 @@
     private static final int MAX_HEADER_BYTES = 16_384;
     private static final int MAX_CHUNK_BYTES = 65_536;
     /** Pieces of a body after which their average size must be at least {@link #MIN_AVERAGE_PIECE_BYTES}. */
-    private static final int MAX_TINY_PIECES = 4_096;
+    private static final int MAX_TINY_PIECES = 1_024;
     /** Smaller pieces cost more to decode than they bring. */
     private static final int MIN_AVERAGE_PIECE_BYTES = 8;
     /** Interim responses (1xx) accepted before the final one. */
@@ -227,7 +228,8 @@
             }
             if (message instanceof HttpResponse response) {
                 onResponse(response);
-                if (interimResponses > MAX_INTERIM_RESPONSES) {
+                boolean switchesProtocol = response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS);
+                if (interimResponses > MAX_INTERIM_RESPONSES || switchesProtocol) {
                     fail(Failure.MALFORMED);
                     context.close();
                     return;
