Restored store: daemons that start wait for the operator for revoke_ms, and see what it wrote before

A mark was written once in an era, so it could not tell a configuration of the copy from one that the operator had written again before the daemon started, and a longer wait would have cost everybody service.

What a daemon that starts can know (docs/MEMBERSHIP.md): the mark of this era, written by one that lived on; what the operator writes while it runs; and, new, what the operator wrote before it started: the mark now follows each change and carries the store's revision of the configuration, so one with a higher revision than in the copy's mark was written after the return. A mark that names a newer version than the copy holds counts in any era. At the first start of the whole system (bootstrap = true, no mark in the store) there is no wait at all; it was 1 s.

Ruled out: late answers of an older era (dropped by StoreClient), a proof from before the return (expires by its age).

Remains: an operator that writes again later than revoke_ms after the daemons' first answer; a copy made in the milliseconds between a change and its mark; see the known limits.

--- a/siskinlead-core/src/main/java/org/siskinlead/core/gateway/Gateway.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/gateway/Gateway.java
@@ -79,8 +79,14 @@
      * Settings of the deployment.
      * @param maxProofAgeMillis age at which a proof that the catalog is recent expires, in milliseconds
      * @param retries limits on the retries that all daemons together may send to a service
+     * @param eras settings for a store that was restored from an older snapshot
      */
-    public record Settings(long maxProofAgeMillis, RetryBudgetShare.Budget retries) {}
+    public record Settings(long maxProofAgeMillis, RetryBudgetShare.Budget retries, EraGuard.Settings eras) {
+        /** Creates settings of a daemon that starts later than the whole system. */
+        public Settings(long maxProofAgeMillis, RetryBudgetShare.Budget retries) {
+            this(maxProofAgeMillis, retries, new EraGuard.Settings(maxProofAgeMillis, EraGuard.Start.LATER));
+        }
+    }
 
     private Gateway(RosterEntry self, Ports ports, Settings settings, Timeline timeline) {
         this.self = self;
@@ -107,6 +113,7 @@
         this.eraGuard = EraGuard.of(
                 ports.store(),
                 timers,
+                settings.eras(),
                 () -> forwarder.catalog().map(Catalog::version).orElse(0L),
                 this::rankOnRoster,
                 ports.renewProof());
@@ -256,6 +263,14 @@
         eraGuard.onEra(era);
     }
 
+    /**
+     * Handles that the configuration was read from the store, after {@link #onCatalog}.
+     * @param revision the store's revision of it
+     */
+    public void onConfigurationRead(long revision) {
+        eraGuard.onConfigurationRead(revision);
+    }
+
     /** Handles that the operator has written the configuration while this daemon was following the store. */
     public void onOperatorWrote() {
         eraGuard.onOperatorWrote();
@@ -324,6 +339,7 @@
     public void retainKeys(Collection<String> keys) {
         roster.retainKeys(keys);
         rateLimitReports.retainKeys(keys);
+        eraGuard.onListed(keys);
     }
 
     /**
