--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/Forwarder.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/Forwarder.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.IntSupplier;
 import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
@@ -57,7 +58,6 @@
     private final List<Runnable> awaitingProof = new ArrayList<>();
     private int awaitingTrial;
     private @Nullable Catalog catalog;
-    private long drainEndsAt = Long.MAX_VALUE;
     private long lastStallCheckAt;
 
     /** Notifies the other daemons of targets found down. */
@@ -108,6 +108,7 @@
             IntSupplier daemonCount,
             RandomGenerator random) {
         ForwardingCounters counters = new ForwardingCounters();
+        StreamPace streamPace = StreamPace.of(timers);
         TargetLink metered = MeteredTargetLink.of(link, rateLimits);
         TargetProber prober = new TargetProber(timers, timeline, registry, metered, counters, daemonCount);
         ForwardingContext context = new ForwardingContext(
@@ -121,7 +122,8 @@
                 prober,
                 rateLimits,
                 new ResponseMemory(),
-                StreamPace.of(timers),
+                streamPace,
+                DrainPolicy.of(timers, streamPace),
                 counters,
                 random,
                 daemonCount);
@@ -211,7 +213,15 @@
      * @param monotonicMillis time at which this daemon stops, in milliseconds of the monotonic clock
      */
     public void drainUntil(long monotonicMillis) {
-        drainEndsAt = monotonicMillis;
+        context.drain().drainUntil(monotonicMillis);
+    }
+
+    /**
+     * Sets the check whether callers that this daemon refuses while it drains find another one.
+     * @param check true while another daemon accepts requests
+     */
+    public void setOthersServe(BooleanSupplier check) {
+        context.drain().setOthersServe(check);
     }
 
     /**
@@ -349,13 +359,22 @@
                 receivedAt,
                 receivedAt + Math.min(timeBudgetMillis, route.timeoutMillis()),
                 receivedAt + timeBudgetMillis,
-                AdmittedRequest.Role.ORDINARY);
-        if (drainEndsAt != Long.MAX_VALUE && maxDurationMillis(admitted) > drainEndsAt - receivedAt) {
-            refuse(request, reply, RefusalCode.DRAINING, "this daemon is draining");
-            return;
+                AdmittedRequest.Role.ORDINARY,
+                null);
+        if (context.drain().isDraining()) {
+            DrainEstimate estimate = context.drain().estimate(admitted);
+            if (context.drain().isLeftToOthers(admitted) || !estimate.endsInTime()) {
+                refuse(request, reply, RefusalCode.DRAINING, "this daemon is draining");
+                return;
+            }
+            admitted = admitted.withDrainEstimate(estimate);
         }
+        acceptUnlessSuspected(admitted, reply, handle);
+    }
+
+    private void acceptUnlessSuspected(AdmittedRequest admitted, Reply reply, Handle handle) {
         if (!context.suspects().isEmpty() && context.suspects().isBlocked(admitted.fingerprint())) {
-            refuse(request, reply, RefusalCode.TARGET_CRASHES, "targets crashed while running this request");
+            refuse(admitted.request(), reply, RefusalCode.TARGET_CRASHES, "targets crashed while running this request");
             return;
         }
         if (context.crashWatch().isBlocked(admitted)) {
@@ -386,8 +405,7 @@
     private void accept(AdmittedRequest admitted, Reply reply, Handle handle) {
         IncomingRequest request = admitted.request();
         context.retryBudget().onRequest(admitted.service().name());
-        timeline.record(
-                EventKind.REQUEST_ADMITTED,
+        List<Object> fields = new ArrayList<>(List.of(
                 "request",
                 request.id(),
                 "route",
@@ -403,18 +421,12 @@
                 "priority",
                 admitted.priority(),
                 "inFlight",
-                running.size());
+                running.size()));
+        fields.addAll(CutRecorder.describe(admitted));
+        timeline.record(EventKind.REQUEST_ADMITTED, fields.toArray());
         start(admitted, reply, handle);
     }
 
-    /** Estimates the longest duration of a request, for draining. */
-    private long maxDurationMillis(AdmittedRequest admitted) {
-        long timeoutMillis = admitted.route().timeoutMillis();
-        return admitted.route().kind() == RouteKind.STREAM
-                ? Math.min(timeoutMillis, context.streamPace().maxDurationMillis(admitted))
-                : timeoutMillis;
-    }
-
     private static int priority(Route route, @Nullable Team team) {
         Integer teamPriority = team == null ? null : team.priority();
         return teamPriority == null ? route.priority() : teamPriority;
@@ -433,7 +445,14 @@
 
     private void refuse(IncomingRequest request, Reply reply, RefusalCode code, String detail) {
         recordRefusal(request, code, detail);
-        reply.refuse(Refusal.notRun(code, detail, code.status() == SERVICE_UNAVAILABLE ? RETRY_AFTER_MS : 0));
+        reply.refuse(Refusal.notRun(code, detail, retryAfterMillis(code)));
+    }
+
+    private long retryAfterMillis(RefusalCode code) {
+        if (code == RefusalCode.DRAINING) {
+            return context.drain().retryAfterMillis();
+        }
+        return code.status() == SERVICE_UNAVAILABLE ? RETRY_AFTER_MS : 0;
     }
 
     private void recordRefusal(IncomingRequest request, RefusalCode code, String detail) {
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamPace.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamPace.java
@@ -51,14 +51,34 @@
         window.slowestMillis = Math.max(window.slowestMillis, gapMillis);
     }
 
-    /** Estimates the longest duration of a stream that is on time, in milliseconds. */
-    long maxDurationMillis(AdmittedRequest admitted) {
-        Window window = windows.computeIfAbsent(admitted.service().name(), s -> new Window());
+    /** Tells whether streams of a service were observed of late. */
+    boolean isKnown(String service) {
+        return slowestMillis(service) > 0;
+    }
+
+    private double slowestMillis(String service) {
+        Window window = windows.computeIfAbsent(service, s -> new Window());
         window.rotate(timers.nowMillis());
-        double slowestMillis = Math.max(window.slowestMillis, window.slowestBeforeMillis);
-        double gapMillis = slowestMillis > 0 ? SLOWER_FACTOR * slowestMillis : admitted.eventGapObjectiveMillis();
+        return Math.max(window.slowestMillis, window.slowestBeforeMillis);
+    }
+
+    /** Estimates the longest duration of a stream by the pace of recent ones of its service, in milliseconds. */
+    long maxDurationMillis(AdmittedRequest admitted) {
+        return durationMillis(
+                admitted, SLOWER_FACTOR * slowestMillis(admitted.service().name()));
+    }
+
+    /** Gets the longest duration of a stream that is on time, in milliseconds. */
+    static long onTimeDurationMillis(AdmittedRequest admitted) {
+        return durationMillis(admitted, (double) admitted.eventGapObjectiveMillis());
+    }
+
+    private static long durationMillis(AdmittedRequest admitted, double gapMillis) {
         EngineSpec engine = admitted.service().engine();
-        double events = Math.ceil(admitted.maxAnswerTokens() / (double) (engine == null ? 1 : engine.stepsPerPass()));
+        // Each event that the caller has received of a resumed stream had at least one token.
+        long tokens =
+                Math.max(1, admitted.maxAnswerTokens() - admitted.request().lastEventId());
+        double events = Math.ceil(tokens / (double) (engine == null ? 1 : engine.stepsPerPass()));
         // A stream that loses its path may be resumed as late as its caller waits for it.
         return admitted.callerPatienceMillis()
                 + admitted.route().latencyObjectiveMillis()
--- a/siskinlead-core/src/main/java/org/siskinlead/core/gateway/Gateway.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/gateway/Gateway.java
@@ -8,6 +8,7 @@
 import org.siskinlead.core.catalog.Catalog;
 import org.siskinlead.core.crash.CrashReports;
 import org.siskinlead.core.forwarding.Forwarder;
+import org.siskinlead.core.forwarding.ForwardingCounters;
 import org.siskinlead.core.forwarding.MeteredTargetLink;
 import org.siskinlead.core.forwarding.RetryBudgetShare;
 import org.siskinlead.core.forwarding.TargetLink;
@@ -79,8 +80,14 @@
      * Settings of the deployment.
      * @param maxProofAgeMillis age at which a proof that the catalog is recent expires, in milliseconds
      * @param retries limits on the retries that all daemons together may send to a service
+     * @param eras settings for a store that was restored from an older snapshot
      */
-    public record Settings(long maxProofAgeMillis, RetryBudgetShare.Budget retries) {}
+    public record Settings(long maxProofAgeMillis, RetryBudgetShare.Budget retries, EraGuard.Settings eras) {
+        /** Creates settings of a daemon that starts later than the whole system. */
+        public Settings(long maxProofAgeMillis, RetryBudgetShare.Budget retries) {
+            this(maxProofAgeMillis, retries, new EraGuard.Settings(maxProofAgeMillis, EraGuard.Start.LATER));
+        }
+    }
 
     private Gateway(RosterEntry self, Ports ports, Settings settings, Timeline timeline) {
         this.self = self;
@@ -107,11 +114,13 @@
         this.eraGuard = EraGuard.of(
                 ports.store(),
                 timers,
+                settings.eras(),
                 () -> forwarder.catalog().map(Catalog::version).orElse(0L),
                 this::rankOnRoster,
                 ports.renewProof());
         this.crashReports = CrashReports.of(self.vm(), ports.store(), timers, ports.random(), roster::size);
         forwarder.setCrashReports(crashReports);
+        forwarder.setOthersServe(this::othersServe);
         forwarder.setDownNoticePublisher(roster::publishDown);
         roster.setDownListener((instanceId, fingerprints, discovery) -> {
             if (discovery == Roster.Discovery.CHANGED) {
@@ -229,6 +238,11 @@
         return listed.isEmpty() && draining ? List.of(self.address()) : listed;
     }
 
+    /** Tells whether another daemon accepts requests. A roster that the store does not keep up to date says nothing. */
+    private boolean othersServe() {
+        return !storeLost && roster.entries().stream().anyMatch(e -> !e.vm().equals(self.vm()));
+    }
+
     /** Counts the daemons that come before this one in the order of their names. */
     private int rankOnRoster() {
         return (int) roster.entries().stream()
@@ -256,6 +270,14 @@
         eraGuard.onEra(era);
     }
 
+    /**
+     * Handles that the configuration was read from the store, after {@link #onCatalog}.
+     * @param revision the store's revision of it
+     */
+    public void onConfigurationRead(long revision) {
+        eraGuard.onConfigurationRead(revision);
+    }
+
     /** Handles that the operator has written the configuration while this daemon was following the store. */
     public void onOperatorWrote() {
         eraGuard.onOperatorWrote();
@@ -324,6 +346,7 @@
     public void retainKeys(Collection<String> keys) {
         roster.retainKeys(keys);
         rateLimitReports.retainKeys(keys);
+        eraGuard.onListed(keys);
     }
 
     /**
@@ -383,19 +406,33 @@
         timeline.record(EventKind.DRAIN_BEGUN, "inFlight", forwarder.inFlight(), "graceMs", graceMillis);
         roster.leave();
         forwarder.drainUntil(timers.nowMillis() + Math.round(ABORT_AT_GRACE_FRACTION * graceMillis));
-        pollDrain(timers.nowMillis(), graceMillis, onDone);
+        pollDrain(timers.nowMillis(), graceMillis, cutCount(), onDone);
+    }
+
+    private long cutCount() {
+        return forwarder.counters().get(ForwardingCounters.Count.CUT);
     }
 
-    private void pollDrain(long startedAtMillis, long graceMillis, Runnable onDone) {
+    private void pollDrain(long startedAtMillis, long graceMillis, long cutBefore, Runnable onDone) {
         long elapsedMillis = timers.nowMillis() - startedAtMillis;
         boolean idle = forwarder.inFlight() == 0 && elapsedMillis >= MIN_DRAIN_MS;
         if (!idle && elapsedMillis < ABORT_AT_GRACE_FRACTION * graceMillis) {
-            timers.after(DRAIN_POLL_INTERVAL_MS, () -> pollDrain(startedAtMillis, graceMillis, onDone));
+            timers.after(DRAIN_POLL_INTERVAL_MS, () -> pollDrain(startedAtMillis, graceMillis, cutBefore, onDone));
             return;
         }
-        timeline.record(EventKind.DRAIN_DONE, "tookMs", elapsedMillis, "cut", forwarder.inFlight());
+        int inFlight = forwarder.inFlight();
         forwarder.drainUntil(timers.nowMillis());
         forwarder.terminateAll("the daemon shut down before the request ended");
+        timeline.record(
+                EventKind.DRAIN_DONE,
+                "tookMs",
+                elapsedMillis,
+                "inFlight",
+                inFlight,
+                "cut",
+                cutCount() - cutBefore,
+                "cutByStop",
+                forwarder.counters().get(ForwardingCounters.Count.CUT_BY_STOP));
         onDone.run();
     }
 }
