Let the peer close a connection after its last response

Seen: a caller that reads slowly and has sent another request on the same connection gets "Connection reset" in place of the end of its response, when the server closes the connection, as a draining daemon does after each one.

Cause: the server closed the socket once the response was handed to the operating system. Bytes that arrive afterwards are answered with a reset, which discards what the peer has not read yet.

Now the server ends its side and closes when the peer does, after 1 s at the latest.

A connection whose peer does not close it stays busy for that second, so a drain may wait for it.

--- a/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/HttpExchange.java
+++ b/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/HttpExchange.java
@@ -3,7 +3,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -20,11 +20,15 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
 import org.siskinlead.core.forwarding.HeaderField;
 import org.siskinlead.protocol.json.Json;
 
 /** HTTP request and its response. The response may be sent once, from any thread. */
 public final class HttpExchange {
+    /** Longest wait, after the last response of a connection, for the peer to close it. */
+    private static final long MAX_PEER_CLOSE_WAIT_MS = 1_000;
+
     private final Channel channel;
     private final Runnable onResponded;
     private final String method;
@@ -264,7 +268,20 @@
         if (keepAlive && !closeAfterResponse) {
             writeFuture.addListener(written -> onResponded.run());
         } else {
-            writeFuture.addListener(ChannelFutureListener.CLOSE);
+            writeFuture.addListener(written -> closeAfterPeer());
+        }
+    }
+
+    /**
+     * Ends the connection, and closes it when the peer does. If it were closed at once, the operating system would answer
+     * bytes that still arrive with a reset, which destroys the part of the response that the peer has not read.
+     */
+    private void closeAfterPeer() {
+        if (channel instanceof DuplexChannel duplex && channel.isActive()) {
+            duplex.shutdownOutput();
+            channel.eventLoop().schedule(() -> channel.close(), MAX_PEER_CLOSE_WAIT_MS, TimeUnit.MILLISECONDS);
+        } else {
+            channel.close();
         }
     }
 }
