Broken-off answers: a reset ends no body of a call, and a write without a readable answer has an unknown outcome

A write to the platform whose answer had no body never got an outcome.

Cause: on an error HttpClient closed the connection and kept the exchange; the decoder then ends a body without a length as if the peer had closed it. PlatformClient decoded answers on the decision thread without catching what cannot be decoded, so its callers were never called.

Why it works: an error fails the exchange first, so what the decoder ends afterwards belongs to none. What cannot be decoded is an unknown outcome, or no list.

--- a/siskinlead-daemon/src/main/java/org/siskinlead/daemon/platform/PlatformClient.java
+++ b/siskinlead-daemon/src/main/java/org/siskinlead/daemon/platform/PlatformClient.java
@@ -6,6 +6,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -100,7 +101,7 @@
         readCount++;
         send("GET", "/vms", NO_BODY, result -> {
             if (result.failure() == null && result.status() == OK) {
-                onVms.accept(Json.read(result.body(), VmList.class).vms());
+                decode(result.body(), VmList.class).map(VmList::vms).ifPresent(onVms);
             }
         });
     }
@@ -119,8 +120,9 @@
 
     private static WriteResult toWriteResult(Result result) {
         if (result.failure() == null && result.status() == OK) {
-            long version = Json.read(result.body(), KvVersion.class).version();
-            return new WriteResult(WriteOutcome.WRITTEN, version);
+            return decode(result.body(), KvVersion.class)
+                    .map(version -> new WriteResult(WriteOutcome.WRITTEN, version.version()))
+                    .orElse(new WriteResult(WriteOutcome.UNKNOWN, 0));
         }
         if (result.failure() == null && result.status() == CONFLICT) {
             return new WriteResult(WriteOutcome.CONFLICT, 0);
@@ -128,6 +130,15 @@
         return new WriteResult(WriteOutcome.UNKNOWN, 0);
     }
 
+    private static <T> Optional<T> decode(byte[] body, Class<T> type) {
+        try {
+            return Optional.of(Json.read(body, type));
+        } catch (ProtocolException e) {
+            LOG.error("cannot decode an answer of the platform", e);
+            return Optional.empty();
+        }
+    }
+
     /** Decodes a response body: the version in the first line, then the value as JSON. */
     private static <T> void decodeVersioned(
             String key, Class<T> type, byte[] body, Consumer<Versioned<T>> onValue, Runnable onFailure) {
--- a/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/HttpClient.java
+++ b/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/HttpClient.java
@@ -324,9 +324,13 @@
             fail(context);
         }
 
+        /**
+         * Fails the exchange. A reset also ends a response without a length, but such a response is complete only if
+         * the connection closed without an error (RFC 9112, section 8).
+         */
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            context.close();
+            fail(context);
         }
 
         private void fail(ChannelHandlerContext context) {
--- a/siskinlead-standins/src/main/java/org/siskinlead/standins/MisbehavingTarget.java
+++ b/siskinlead-standins/src/main/java/org/siskinlead/standins/MisbehavingTarget.java
@@ -208,6 +208,14 @@
             socket.close();
         }
 
+        /**
+         * Closes the sending direction only, after all bytes that were sent.
+         * @throws IOException if closing fails
+         */
+        public void closeSending() throws IOException {
+            socket.shutdownOutput();
+        }
+
         /**
          * Resets the connection.
          * @throws IOException if closing fails
