REFUSED: a target's 408, 429 or 503 to a request that must not run twice is no promise unless the target says so

What callers saw: an unsafe request, or a stream that cannot be resumed, which its target may have run, was answered with that target's 408, 429 or 503. To a caller these promise that the request has not run and never will, so it sends it again.

Cause: failures of targets are passed on as they are, and these statuses mean another thing between targets and us than between us and callers.

Why it works: such an answer ends the request as unknown (502), without the target's seal, which would need the target's status. Not-run answers and 421 of another target are handled before and as before; requests that may run twice get the target's own answer.

--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/AbstractForwardedCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/AbstractForwardedCall.java
@@ -273,6 +273,20 @@
         reply.refuse(refusal);
     }
 
+    /**
+     * Ends a request that must not run twice and whose target answered, without saying that it did not run it, with a
+     * status that promises this to the caller; returns whether it did.
+     */
+    final boolean endIfFalsePromise(Attempt from, TargetResponse response) {
+        if (admitted.route().isIdempotent() || !response.isPromise()) {
+            return false;
+        }
+        sendHistory.onMayHaveRun();
+        giveUp(from.target().entry().id() + " answered with status " + response.status()
+                + " and may have run the request");
+        return true;
+    }
+
     final void endAtDeadline() {
         end("deadline passed", RefusalCode.DEADLINE_EXCEEDED.status());
         context.counters().incrementRefusals(RefusalCode.DEADLINE_EXCEEDED);
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/BufferedCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/BufferedCall.java
@@ -164,7 +164,9 @@
         } else {
             from.target().onAnswer((double) from.elapsedMillis());
         }
-        deliver(response);
+        if (!endIfFalsePromise(from, response)) {
+            deliver(response);
+        }
     }
 
     private void deliver(TargetResponse response) {
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamingCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamingCall.java
@@ -237,6 +237,8 @@
         TargetResponse response = source.head();
         if (response == null) {
             handleFailure(from, LinkFailure.MALFORMED);
+        } else if (!response.isSuccess() && endIfFalsePromise(from, response)) {
+            from.target().onFailure();
         } else if (!response.isSuccess()) {
             finish("failed by target", response.status());
             reply.respond(response, source.failureBody());
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/TargetResponse.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/TargetResponse.java
@@ -1,6 +1,7 @@
 package org.siskinlead.core.forwarding;
 
 import java.util.List;
+import java.util.Set;
 
 /**
  * Head of a target's response.
@@ -33,6 +34,8 @@
     private static final int OK = 200;
     private static final int MULTIPLE_CHOICES = 300;
     private static final int SERVER_ERROR = 500;
+    /** Statuses by which a caller knows that its request has not run and never will. */
+    private static final Set<Integer> PROMISES = Set.of(408, 421, 429, 503);
 
     /**
      * Tells whether the status is a success.
@@ -50,6 +53,14 @@
         return status >= SERVER_ERROR;
     }
 
+    /**
+     * Tells whether the status would promise a caller that its request has not run.
+     * @return true also when the target itself does not say so
+     */
+    public boolean isPromise() {
+        return PROMISES.contains(status);
+    }
+
     /**
      * Tells whether this response may be delivered for the request.
      * @return false when it belongs to another request, or is a success without the response seal
--- a/siskinlead-core/src/test/java/org/siskinlead/core/forwarding/BufferedCallTest.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/forwarding/BufferedCallTest.java
@@ -2,7 +2,14 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.siskinlead.core.catalog.Catalog;
+import org.siskinlead.core.catalog.Route;
+import org.siskinlead.core.catalog.RouteKind;
+import org.siskinlead.core.catalog.Team;
+import org.siskinlead.core.catalog.WeightedService;
 import org.siskinlead.core.fakes.FakeTargetLink;
 import org.siskinlead.core.fakes.ForwardingTestBed;
 import org.siskinlead.core.fakes.RecordedReply;
@@ -62,6 +69,61 @@
         assertThat(reply.refusal.retryAfterMillis()).isGreaterThan(0);
     }
 
+    // Guards against a request that ran and is sent again, because its caller was told that it did not run.
+    @Test
+    void promisesForNoTargetThatItHasNotRunAnUnsafeRequest() {
+        for (int status : new int[] {408, 429, 503}) {
+            RecordedReply reply = bed.send("/unsafe/x");
+            bed.link.last().respond(status);
+
+            assertThat(reply.answer).isNull();
+            assertThat(reply.refusal.outcome()).isEqualTo(RequestOutcome.UNKNOWN);
+            assertThat(reply.refusal.code().status()).isEqualTo(502);
+        }
+    }
+
+    @Test
+    void promisesForNoTargetThatItHasNotRunAStreamThatCannotBeResumed() {
+        bed.forwarder.onCatalog(catalogOfAStreamThatCannotBeResumed());
+        RecordedReply reply = bed.send("/once/x");
+        bed.link.last().respond(429);
+
+        assertThat(reply.answer).isNull();
+        assertThat(reply.refusal.code().status()).isEqualTo(502);
+        assertThat(bed.link.received).hasSize(1);
+    }
+
+    private static Catalog catalogOfAStreamThatCannotBeResumed() {
+        Catalog usual = ForwardingTestBed.catalog(2, Set.of(ForwardingTestBed.KEY));
+        Route once = new Route(
+                "once",
+                "host",
+                "/once/",
+                RouteKind.STREAM,
+                List.of(new WeightedService("plain", 1)),
+                2_000,
+                300,
+                200,
+                1,
+                2,
+                false,
+                false);
+        return Catalog.of(
+                2,
+                List.of(once),
+                List.copyOf(usual.services()),
+                List.of(new Team("team", Set.of(ForwardingTestBed.KEY), 1)),
+                usual.limits());
+    }
+
+    @Test
+    void passesOnASafeRequestsRefusalByItsTarget() {
+        RecordedReply reply = bed.send("/safe/x");
+        bed.link.last().respond(429);
+
+        assertThat(reply.answer.status()).isEqualTo(429);
+    }
+
     @Test
     void passesOnATargetsOwnFailureOfAnUnsafeRequest() {
         RecordedReply reply = bed.send("/unsafe/x");
