Judge a stream by the slower of pace and objective, at the time of its send

Callers would see: while no other daemon is listed, or the store is lost, a stream that is sent later than 2.5 s after the begin of a drain is accepted by the objective also when streams are known to be slower, and cut at the end.

Cause: late in a drain the estimate was the objective instead of the pace, and whether it was late was judged by the arrival of the request, not by its send, so that a stream that had waited counted as early.

Now the pace counts whenever it is slower than the objective, and the time is that of the judgement.

DrainingForwarderTest.expectsLateStreamsToBeAsSlowAsTheOthersAre and judgesByTheTimeOfTheSend: the reviewer's forms of both failed on (the stream was accepted; the stream was sent again); both pass now.

--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/DrainPolicy.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/DrainPolicy.java
@@ -14,8 +14,8 @@
     static final long NOT_DRAINING = -1;
 
     /**
-     * Time since the begin of a drain after which the pace of recent streams is no longer trusted. Targets may slow down,
-     * and what is accepted later has less room for that.
+     * Time since the begin of a drain after which a pace of recent streams that is faster than the objective is no longer
+     * trusted. Targets may slow down, and what is sent later has less room for that.
      */
     private static final long PACE_TRUSTED_MS = 2_500;
     /** {@code Retry-After} while another daemon can take the request at once. */
@@ -69,9 +69,10 @@
         long maxMillis = admitted.route().timeoutMillis();
         Basis basis = Basis.TIMEOUT;
         if (admitted.route().kind() == RouteKind.STREAM) {
-            boolean byPace = admitted.receivedAt() - begunAt < PACE_TRUSTED_MS
-                    && pace.isKnown(admitted.service().name());
-            long streamMillis = byPace ? pace.maxDurationMillis(admitted) : StreamPace.onTimeDurationMillis(admitted);
+            long paceMillis = pace.isKnown(admitted.service().name()) ? pace.maxDurationMillis(admitted) : 0;
+            long onTimeMillis = StreamPace.onTimeDurationMillis(admitted);
+            boolean byPace = paceMillis > onTimeMillis || (paceMillis > 0 && sinceBeginMillis() < PACE_TRUSTED_MS);
+            long streamMillis = byPace ? paceMillis : onTimeMillis;
             if (streamMillis < maxMillis) {
                 maxMillis = streamMillis;
                 basis = byPace ? Basis.PACE : Basis.OBJECTIVE;
--- a/siskinlead-core/src/test/java/org/siskinlead/core/forwarding/DrainingForwarderTest.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/forwarding/DrainingForwarderTest.java
@@ -111,6 +111,38 @@
         assertThat(send("/stream/rest", 160, 140).refusal).isNull();
     }
 
+    // Guards against streams that are accepted late by the objective although streams are known to be slower.
+    @Test
+    void expectsLateStreamsToBeAsSlowAsTheOthersAre() {
+        ReceivedRequest slow = bed.link.last();
+        writeEvents(slow, 20, 600);
+        bed.forwarder.drainUntil(bed.timers.nowMillis() + 7_600);
+        for (int id = 21; id <= 26; id++) {
+            bed.timers.advance(600);
+            slow.sendEvents(id, id);
+        }
+        bed.renewProof();
+
+        assertThat(send("/stream/late", 14, 0).refusal).isNotNull();
+    }
+
+    // Guards against streams that waited for a target and are judged as if they were sent early.
+    @Test
+    void judgesByTheTimeOfTheSend() {
+        writeEvents(bed.link.last(), 60, 10);
+        bed.forwarder.drainUntil(bed.timers.nowMillis() + 7_600);
+        bed.timers.advance(2_400);
+        bed.renewProof();
+        RecordedReply reply = send("/stream/early", 80, 0);
+        ReceivedRequest sent = bed.link.last();
+        bed.timers.advance(300);
+        bed.link.received.get(0).sendEvents(61, 61);
+        sent.respondNotRun(503);
+
+        assertThat(reply.refusal).isNotNull();
+        assertThat(reply.refusal.code()).isEqualTo(RefusalCode.DRAINING);
+    }
+
     private RecordedReply send(String path, int maxAnswerTokens, long lastEventId) {
         RecordedReply reply = new RecordedReply();
         IncomingRequest request = new IncomingRequest(
