Leave streams only to daemons that callers can know of

Callers would see: in a restart in turn, one daemon has just returned and the next is told to stop. Callers still have the directory's older answer and know only the one that drains; it refuses all their streams at once, though nobody else can take them yet.

Cause: another daemon counted from the moment of its entry. The directory's answers are kept for 2 s.

Another daemon counts once it has been listed for 2 s; until then streams are judged by whether they end in time.

--- a/siskinlead-core/src/main/java/org/siskinlead/core/gateway/Gateway.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/gateway/Gateway.java
@@ -37,6 +37,9 @@
     private static final long MIN_DRAIN_MS = 3_000;
 
     private static final long DRAIN_POLL_INTERVAL_MS = 50;
+    /** Time after which callers know of a daemon that was listed: what the directory told them has expired. */
+    private static final long KNOWN_TO_CALLERS_MS = 2_000;
+
     /**
      * Multiplier that distributes similar hash codes over all integers: 2^32 divided by the golden ratio (Knuth, The
      * Art of Computer Programming, section 6.4).
@@ -238,9 +241,12 @@
         return listed.isEmpty() && draining ? List.of(self.address()) : listed;
     }
 
-    /** Tells whether another daemon accepts requests. A roster that the store does not keep up to date says nothing. */
+    /**
+     * Tells whether callers find another daemon that accepts requests. A roster that the store does not keep up to date
+     * says nothing.
+     */
     private boolean othersServe() {
-        return !storeLost && roster.entries().stream().anyMatch(e -> !e.vm().equals(self.vm()));
+        return !storeLost && roster.listsOtherFor(KNOWN_TO_CALLERS_MS);
     }
 
     /** Counts the daemons that come before this one in the order of their names. */
--- a/siskinlead-core/src/main/java/org/siskinlead/core/roster/Roster.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/roster/Roster.java
@@ -70,6 +70,9 @@
     private final Timeline timeline;
     private final Freshness leaseProof;
     private final Map<String, RosterEntry> entries = new TreeMap<>();
+    /** Times at which the entries were added, by VM, in milliseconds of the monotonic clock. */
+    private final Map<String, Long> addedAt = new HashMap<>();
+
     private final Map<String, Long> leaseByKey = new HashMap<>();
     private final Map<String, Long> lapseGraceUntil = new HashMap<>();
     private DownListener downListener = (instanceId, fingerprints, discovery) -> {};
@@ -138,6 +141,17 @@
         return new ArrayList<>(entries.values());
     }
 
+    /**
+     * Tells whether another daemon has been listed for some time.
+     * @param millis the time, in milliseconds
+     * @return true if callers that have asked since then know one
+     */
+    public boolean listsOtherFor(long millis) {
+        return entries().stream()
+                .filter(entry -> !entry.vm().equals(self.vm()))
+                .anyMatch(entry -> timers.nowMillis() - addedAt.getOrDefault(entry.vm(), Long.MAX_VALUE) >= millis);
+    }
+
     /**
      * Counts the daemons that take requests.
      * @return at least one
@@ -435,6 +449,7 @@
 
     private void addEntry(String vm, RosterEntry entry) {
         if (entries.put(vm, entry) == null) {
+            addedAt.put(vm, timers.nowMillis());
             timeline.record(EventKind.MEMBER_JOINED, "vm", vm, "address", entry.address());
         }
     }
--- a/siskinlead-core/src/test/java/org/siskinlead/core/gateway/GatewayTest.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/gateway/GatewayTest.java
@@ -224,6 +224,23 @@
         assertThat(done).containsEntry("cutByStop", "1");
     }
 
+    // Guards against sending callers away to a daemon that none of them knows yet.
+    @Test
+    void acceptsStreamsWhileTheOnlyOtherDaemonHasJustBeenListed() {
+        Gateway leaving = gateways.get(0);
+        gateways.get(1).drain(GRACE_MS, () -> {});
+        timers.advance(9_000);
+        leaving.onProof(Freshness.ClockReading.now(timers));
+        observeFastStreams(leaving);
+        start("vm2");
+        timers.advance(300);
+        leaving.onProof(Freshness.ClockReading.now(timers));
+        leaving.drain(GRACE_MS, () -> {});
+        timers.advance(50);
+
+        assertThat(send(leaving, "/stream/x").isOpen()).isTrue();
+    }
+
     private void observeFastStreams(Gateway gateway) {
         send(gateway, "/stream/fast");
         ReceivedRequest sent = links.get(gateways.indexOf(gateway)).last();
