Apply changed limits of callers to open connections

Cause: the limits were read when a connection was accepted.

Now each request is held to the limits in force: body, header section and times. The decoder takes up to 64 KB of header fields, or the limit at the time of the connection if that is higher.

--- a/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/HttpServer.java
+++ b/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/HttpServer.java
@@ -21,6 +21,9 @@
 /** HTTP/1.1 server that hands each request to a handler as an {@link HttpExchange}. */
 public final class HttpServer implements AutoCloseable {
     private static final int MAX_LINE_BYTES = 8_192;
+    /** Largest header section that is decoded, so that a limit that is raised also holds for open connections. */
+    private static final int MAX_HEADER_BYTES = 65_536;
+
     private static final int BACKLOG = 1_024;
     private static final int MAX_PIPELINED_REQUESTS = 8;
     /** High-water mark of unsent bytes: above it {@link HttpExchange#isReaderSlow} is true, until half are left. */
@@ -64,7 +67,7 @@
      * Starts a server.
      * @param address IP address and port to listen on
      * @param group network threads
-     * @param limits supplies the limits of each new connection
+     * @param limits supplies the limits in force, which hold for the next request of each connection
      * @param memory memory for the bodies of requests, which servers of a process may share
      * @param handler called for each request, on a network thread
      * @return the server, which accepts connections
@@ -164,16 +167,15 @@
 
         @Override
         protected void initChannel(SocketChannel socket) {
-            HttpLimits bounds = limits.get();
             HttpDecoderConfig config = new HttpDecoderConfig()
                     .setMaxInitialLineLength(MAX_LINE_BYTES)
-                    .setMaxHeaderSize(bounds.maxHeaderBytes());
-            ConnectionTimeouts timeouts = new ConnectionTimeouts(() -> bounds, counts);
+                    .setMaxHeaderSize(Math.max(MAX_HEADER_BYTES, limits.get().maxHeaderBytes()));
+            ConnectionTimeouts timeouts = new ConnectionTimeouts(limits, counts);
             socket.pipeline()
                     .addLast(timeouts.beforeCodec())
                     .addLast(new HttpServerCodec(config))
                     .addLast(timeouts.afterCodec())
-                    .addLast(new RequestAssembler(() -> bounds, memory))
+                    .addLast(new RequestAssembler(limits, memory))
                     .addLast(new Dispatcher(handler, timeouts));
         }
     }
