Ask callers sent away from a draining daemon to return in half a latency objective

Callers saw: with the Retry-After of 20 ms of more of them were refused twice than with the 500 ms before. They come back with the same list of addresses, which may name another VM that has just got its signal; the users' clients try twice, so these requests end.

Ruled out: accepting resumable streams early without the allowance for a lost path; none fitted into the grace period.

Conclusion: half an objective leaves the answer in time, and gives some callers the time to hear which daemons serve.

--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/AbstractForwardedCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/AbstractForwardedCall.java
@@ -309,7 +309,7 @@
     }
 
     final void refuseAsDraining(String detail) {
-        refuse(RefusalCode.DRAINING, detail, context.drain().retryAfterMillis());
+        refuse(RefusalCode.DRAINING, detail, context.drain().retryAfterMillis(admitted.route()));
     }
 
     private void refuse(RefusalCode code, String detail, long retryAfterMillis) {
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/DrainPolicy.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/DrainPolicy.java
@@ -1,6 +1,7 @@
 package org.siskinlead.core.forwarding;
 
 import java.util.function.BooleanSupplier;
+import org.siskinlead.core.catalog.Route;
 import org.siskinlead.core.catalog.RouteKind;
 import org.siskinlead.core.forwarding.DrainEstimate.Basis;
 import org.siskinlead.core.time.Timers;
@@ -18,8 +19,11 @@
      * and what is accepted later has less room for that.
      */
     private static final long PACE_TRUSTED_MS = 2_500;
-    /** {@code Retry-After} while another daemon can take the request at once. */
-    private static final long RETRY_ELSEWHERE_MS = 20;
+    /**
+     * {@code Retry-After} while another daemon takes requests, in latency objectives: the answer may still be in time, and
+     * the caller may have heard meanwhile which daemons these are.
+     */
+    private static final double RETRY_ELSEWHERE_OBJECTIVES = 0.5;
     /** {@code Retry-After} while no other daemon is listed. */
     private static final long RETRY_ALONE_MS = 500;
 
@@ -81,8 +85,10 @@
     }
 
     /** Gets the time after which a caller that is refused should try again, in milliseconds. */
-    long retryAfterMillis() {
-        return othersServe.getAsBoolean() ? RETRY_ELSEWHERE_MS : RETRY_ALONE_MS;
+    long retryAfterMillis(Route route) {
+        return othersServe.getAsBoolean()
+                ? Math.round(RETRY_ELSEWHERE_OBJECTIVES * route.latencyObjectiveMillis())
+                : RETRY_ALONE_MS;
     }
 
     // Commands
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/Forwarder.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/Forwarder.java
@@ -40,6 +40,7 @@
     /** {@code Retry-After} of status 503 before admission; later refusals use {@link RetryAfterJitter}. */
     private static final long RETRY_AFTER_MS = 500;
 
+    private static final String DRAINING_DETAIL = "this daemon is draining";
     private static final long STALL_CHECK_INTERVAL_MS = 10;
     /** Delay of a stall check beyond which this process is taken to have been paused. */
     private static final long PROCESS_PAUSE_MS = 80;
@@ -364,7 +365,9 @@
         if (context.drain().isDraining()) {
             DrainEstimate estimate = context.drain().estimate(admitted);
             if (context.drain().isLeftToOthers(admitted) || !estimate.endsInTime()) {
-                refuse(request, reply, RefusalCode.DRAINING, "this daemon is draining");
+                recordRefusal(request, RefusalCode.DRAINING, DRAINING_DETAIL);
+                long retryAfterMillis = context.drain().retryAfterMillis(route);
+                reply.refuse(Refusal.notRun(RefusalCode.DRAINING, DRAINING_DETAIL, retryAfterMillis));
                 return;
             }
             admitted = admitted.withDrainEstimate(estimate);
@@ -445,14 +448,7 @@
 
     private void refuse(IncomingRequest request, Reply reply, RefusalCode code, String detail) {
         recordRefusal(request, code, detail);
-        reply.refuse(Refusal.notRun(code, detail, retryAfterMillis(code)));
-    }
-
-    private long retryAfterMillis(RefusalCode code) {
-        if (code == RefusalCode.DRAINING) {
-            return context.drain().retryAfterMillis();
-        }
-        return code.status() == SERVICE_UNAVAILABLE ? RETRY_AFTER_MS : 0;
+        reply.refuse(Refusal.notRun(code, detail, code.status() == SERVICE_UNAVAILABLE ? RETRY_AFTER_MS : 0));
     }
 
     private void recordRefusal(IncomingRequest request, RefusalCode code, String detail) {
