--- a/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/HttpServer.java
+++ b/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/HttpServer.java
@@ -127,17 +127,22 @@
      * @param onDrained called once, on a network thread
      */
     public void drain(long maxMillis, Consumer<Drained> onDrained) {
-        long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(maxMillis);
+        long startedAtNanos = System.nanoTime();
+        long deadlineNanos = startedAtNanos + TimeUnit.MILLISECONDS.toNanos(maxMillis);
         long maxQuietWaitMillis = Math.min(MAX_QUIET_WAIT_MS, maxMillis / 2);
         channel.eventLoop()
                 .execute(() -> channel.closeWhenQuiet(
                         maxQuietWaitMillis,
-                        acceptedLast -> pollDrained(System.nanoTime(), deadlineNanos, acceptedLast, onDrained)));
+                        acceptedLast -> pollDrained(
+                                acceptedLast > 0 ? System.nanoTime() : startedAtNanos,
+                                deadlineNanos,
+                                acceptedLast,
+                                onDrained)));
     }
 
-    private void pollDrained(long closedAtNanos, long deadlineNanos, int acceptedLast, Consumer<Drained> onDrained) {
+    private void pollDrained(long lingerFromNanos, long deadlineNanos, int acceptedLast, Consumer<Drained> onDrained) {
         long now = System.nanoTime();
-        long elapsedMillis = TimeUnit.NANOSECONDS.toMillis(now - closedAtNanos);
+        long elapsedMillis = TimeUnit.NANOSECONDS.toMillis(now - lingerFromNanos);
         Drained connections = new Drained(counts.busy.get(), counts.unused.get(), acceptedLast);
         boolean mayRequestArrive =
                 elapsedMillis < DRAIN_LINGER_MS || (elapsedMillis < FIRST_REQUEST_WAIT_MS && connections.unused() > 0);
@@ -147,7 +152,7 @@
         }
         channel.eventLoop()
                 .schedule(
-                        () -> pollDrained(closedAtNanos, deadlineNanos, acceptedLast, onDrained),
+                        () -> pollDrained(lingerFromNanos, deadlineNanos, acceptedLast, onDrained),
                         DRAIN_POLL_INTERVAL_MS,
                         TimeUnit.MILLISECONDS);
     }
