--- a/siskinlead-daemon/src/main/java/org/siskinlead/daemon/targets/TargetClient.java
+++ b/siskinlead-daemon/src/main/java/org/siskinlead/daemon/targets/TargetClient.java
@@ -217,7 +217,7 @@
         if (failure != null) {
             return switch (failure) {
                 case REFUSED, UNREACHABLE -> new StepResult.NotSent();
-                case BROKEN -> new StepResult.ConnectionLost();
+                case BROKEN, TOO_LONG -> new StepResult.ConnectionLost();
                 case TIMED_OUT -> new StepResult.TimedOut();
             };
         }
--- a/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/HttpClient.java
+++ b/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/HttpClient.java
@@ -85,6 +85,8 @@
         UNREACHABLE,
         /** The connection closed or failed after the request may have been sent. */
         BROKEN,
+        /** The body is longer than this client takes. */
+        TOO_LONG,
         /** No complete response arrived in time. */
         TIMED_OUT
     }
@@ -281,8 +283,11 @@
                 received.add(context.channel(), length);
             }
             complete = content instanceof LastHttpContent;
-            return body.size() <= MAX_RESPONSE_BYTES
-                    && (pieces <= MAX_TINY_PIECES || body.size() >= MIN_AVERAGE_PIECE_BYTES * pieces);
+            return !isTooLong() && (pieces <= MAX_TINY_PIECES || body.size() >= MIN_AVERAGE_PIECE_BYTES * pieces);
+        }
+
+        private boolean isTooLong() {
+            return body.size() > MAX_RESPONSE_BYTES;
         }
 
         @Override
@@ -334,10 +339,11 @@
         }
 
         private void fail(ChannelHandlerContext context) {
+            Failure failure = isTooLong() ? Failure.TOO_LONG : Failure.BROKEN;
             reset(context);
             Exchange exchange = context.channel().attr(EXCHANGE).getAndSet(null);
             if (exchange != null) {
-                exchange.end(Result.failed(Failure.BROKEN));
+                exchange.end(Result.failed(failure));
             }
             context.close();
         }
