--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/DrainPolicy.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/DrainPolicy.java
@@ -1,6 +1,7 @@
 package org.siskinlead.core.forwarding;
 
 import java.util.function.BooleanSupplier;
+import org.siskinlead.core.catalog.Route;
 import org.siskinlead.core.catalog.RouteKind;
 import org.siskinlead.core.forwarding.DrainEstimate.Basis;
 import org.siskinlead.core.time.Timers;
@@ -14,12 +15,15 @@
     static final long NOT_DRAINING = -1;
 
     /**
-     * Time since the begin of a drain after which the pace of recent streams is no longer trusted. Targets may slow down,
-     * and what is accepted later has less room for that.
+     * Time since the begin of a drain after which a pace of recent streams that is faster than the objective is no longer
+     * trusted. Targets may slow down, and what is sent later has less room for that.
      */
     private static final long PACE_TRUSTED_MS = 2_500;
-    /** {@code Retry-After} while another daemon can take the request at once. */
-    private static final long RETRY_ELSEWHERE_MS = 20;
+    /**
+     * {@code Retry-After} while another daemon takes requests, in latency objectives: the answer may still be in time, and
+     * the caller may have heard meanwhile which daemons these are.
+     */
+    private static final double RETRY_ELSEWHERE_OBJECTIVES = 0.5;
     /** {@code Retry-After} while no other daemon is listed. */
     private static final long RETRY_ALONE_MS = 500;
 
@@ -69,9 +73,10 @@
         long maxMillis = admitted.route().timeoutMillis();
         Basis basis = Basis.TIMEOUT;
         if (admitted.route().kind() == RouteKind.STREAM) {
-            boolean byPace = admitted.receivedAt() - begunAt < PACE_TRUSTED_MS
-                    && pace.isKnown(admitted.service().name());
-            long streamMillis = byPace ? pace.maxDurationMillis(admitted) : StreamPace.onTimeDurationMillis(admitted);
+            long paceMillis = pace.isKnown(admitted.service().name()) ? pace.maxDurationMillis(admitted) : 0;
+            long onTimeMillis = StreamPace.onTimeDurationMillis(admitted);
+            boolean byPace = paceMillis > onTimeMillis || (paceMillis > 0 && sinceBeginMillis() < PACE_TRUSTED_MS);
+            long streamMillis = byPace ? paceMillis : onTimeMillis;
             if (streamMillis < maxMillis) {
                 maxMillis = streamMillis;
                 basis = byPace ? Basis.PACE : Basis.OBJECTIVE;
@@ -81,8 +86,10 @@
     }
 
     /** Gets the time after which a caller that is refused should try again, in milliseconds. */
-    long retryAfterMillis() {
-        return othersServe.getAsBoolean() ? RETRY_ELSEWHERE_MS : RETRY_ALONE_MS;
+    long retryAfterMillis(Route route) {
+        return othersServe.getAsBoolean()
+                ? Math.round(RETRY_ELSEWHERE_OBJECTIVES * route.latencyObjectiveMillis())
+                : RETRY_ALONE_MS;
     }
 
     // Commands
--- a/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/HttpServer.java
+++ b/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/HttpServer.java
@@ -8,18 +8,11 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpObjectAggregator;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
-import io.netty.handler.codec.http.TooLongHttpHeaderException;
-import io.netty.handler.codec.http.TooLongHttpLineException;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -28,6 +21,9 @@
 /** HTTP/1.1 server that hands each request to a handler as an {@link HttpExchange}. */
 public final class HttpServer implements AutoCloseable {
     private static final int MAX_LINE_BYTES = 8_192;
+    /** Largest header section that is decoded, so that a limit that is raised also holds for open connections. */
+    private static final int MAX_HEADER_BYTES = 65_536;
+
     private static final int BACKLOG = 1_024;
     private static final int MAX_PIPELINED_REQUESTS = 8;
     /** High-water mark of unsent bytes: above it {@link HttpExchange#isReaderSlow} is true, until half are left. */
@@ -44,8 +40,6 @@
 
     private static final long DRAIN_POLL_INTERVAL_MS = 10;
 
-    private static final byte[] MALFORMED = "malformed HTTP request".getBytes(StandardCharsets.UTF_8);
-
     private final ListeningChannel channel;
     private final ConnectionCounts counts;
 
@@ -66,20 +60,25 @@
     public static HttpServer start(
             InetSocketAddress address, EventLoopGroup group, HttpLimits limits, ExchangeHandler handler)
             throws InterruptedException {
-        return start(address, group, () -> limits, handler);
+        return start(address, group, () -> limits, RequestMemory.ofHeap(), handler);
     }
 
     /**
      * Starts a server.
      * @param address IP address and port to listen on
      * @param group network threads
-     * @param limits supplies the limits of each new connection
+     * @param limits supplies the limits in force, which hold for the next request of each connection
+     * @param memory memory for the bodies of requests, which servers of a process may share
      * @param handler called for each request, on a network thread
      * @return the server, which accepts connections
      * @throws InterruptedException if interrupted before the server listens
      */
     public static HttpServer start(
-            InetSocketAddress address, EventLoopGroup group, Supplier<HttpLimits> limits, ExchangeHandler handler)
+            InetSocketAddress address,
+            EventLoopGroup group,
+            Supplier<HttpLimits> limits,
+            RequestMemory memory,
+            ExchangeHandler handler)
             throws InterruptedException {
         ConnectionCounts counts = new ConnectionCounts();
         ListeningChannel channel = (ListeningChannel) new ServerBootstrap()
@@ -91,7 +90,7 @@
                 .childOption(
                         ChannelOption.WRITE_BUFFER_WATER_MARK,
                         new WriteBufferWaterMark(MAX_UNSENT_BYTES / 2, MAX_UNSENT_BYTES))
-                .childHandler(new PipelineInitializer(limits, handler, counts))
+                .childHandler(new PipelineInitializer(limits, memory, handler, counts))
                 .bind(address)
                 .sync()
                 .channel();
@@ -127,17 +126,22 @@
      * @param onDrained called once, on a network thread
      */
     public void drain(long maxMillis, Consumer<Drained> onDrained) {
-        long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(maxMillis);
+        long startedAtNanos = System.nanoTime();
+        long deadlineNanos = startedAtNanos + TimeUnit.MILLISECONDS.toNanos(maxMillis);
         long maxQuietWaitMillis = Math.min(MAX_QUIET_WAIT_MS, maxMillis / 2);
         channel.eventLoop()
                 .execute(() -> channel.closeWhenQuiet(
                         maxQuietWaitMillis,
-                        acceptedLast -> pollDrained(System.nanoTime(), deadlineNanos, acceptedLast, onDrained)));
+                        acceptedLast -> pollDrained(
+                                acceptedLast > 0 ? System.nanoTime() : startedAtNanos,
+                                deadlineNanos,
+                                acceptedLast,
+                                onDrained)));
     }
 
-    private void pollDrained(long closedAtNanos, long deadlineNanos, int acceptedLast, Consumer<Drained> onDrained) {
+    private void pollDrained(long lingerFromNanos, long deadlineNanos, int acceptedLast, Consumer<Drained> onDrained) {
         long now = System.nanoTime();
-        long elapsedMillis = TimeUnit.NANOSECONDS.toMillis(now - closedAtNanos);
+        long elapsedMillis = TimeUnit.NANOSECONDS.toMillis(now - lingerFromNanos);
         Drained connections = new Drained(counts.busy.get(), counts.unused.get(), acceptedLast);
         boolean mayRequestArrive =
                 elapsedMillis < DRAIN_LINGER_MS || (elapsedMillis < FIRST_REQUEST_WAIT_MS && connections.unused() > 0);
@@ -147,40 +151,42 @@
         }
         channel.eventLoop()
                 .schedule(
-                        () -> pollDrained(closedAtNanos, deadlineNanos, acceptedLast, onDrained),
+                        () -> pollDrained(lingerFromNanos, deadlineNanos, acceptedLast, onDrained),
                         DRAIN_POLL_INTERVAL_MS,
                         TimeUnit.MILLISECONDS);
     }
 
     private static final class PipelineInitializer extends ChannelInitializer<SocketChannel> {
         private final Supplier<HttpLimits> limits;
+        private final RequestMemory memory;
         private final ExchangeHandler handler;
         private final ConnectionCounts counts;
 
-        PipelineInitializer(Supplier<HttpLimits> limits, ExchangeHandler handler, ConnectionCounts counts) {
+        PipelineInitializer(
+                Supplier<HttpLimits> limits, RequestMemory memory, ExchangeHandler handler, ConnectionCounts counts) {
             this.limits = limits;
+            this.memory = memory;
             this.handler = handler;
             this.counts = counts;
         }
 
         @Override
         protected void initChannel(SocketChannel socket) {
-            HttpLimits bounds = limits.get();
             HttpDecoderConfig config = new HttpDecoderConfig()
                     .setMaxInitialLineLength(MAX_LINE_BYTES)
-                    .setMaxHeaderSize(bounds.maxHeaderBytes());
-            ConnectionTimeouts timeouts = new ConnectionTimeouts(bounds, counts);
+                    .setMaxHeaderSize(Math.max(MAX_HEADER_BYTES, limits.get().maxHeaderBytes()));
+            ConnectionTimeouts timeouts = new ConnectionTimeouts(limits, counts);
             socket.pipeline()
                     .addLast(timeouts.beforeCodec())
                     .addLast(new HttpServerCodec(config))
                     .addLast(timeouts.afterCodec())
-                    .addLast(new HttpObjectAggregator(bounds.maxBodyBytes()))
+                    .addLast(new RequestAssembler(limits, memory))
                     .addLast(new Dispatcher(handler, timeouts));
         }
     }
 
     /** Handles pipelined requests one at a time; closes the connection when more than the maximum are waiting. */
-    private static final class Dispatcher extends SimpleChannelInboundHandler<FullHttpRequest> {
+    private static final class Dispatcher extends SimpleChannelInboundHandler<ReceivedRequest> {
         private final ExchangeHandler handler;
         private final ConnectionTimeouts timeouts;
         private final Deque<HttpExchange> pipelined = new ArrayDeque<>();
@@ -192,17 +198,11 @@
         }
 
         @Override
-        protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+        protected void channelRead0(ChannelHandlerContext context, ReceivedRequest request) {
             HttpExchange exchange = new HttpExchange(
                     context.channel(), request, () -> context.executor().execute(() -> onResponded(context)));
-            if (request.decoderResult().isFailure()) {
-                exchange.respond(
-                        errorStatus(request.decoderResult().cause()),
-                        "text/plain",
-                        MALFORMED,
-                        Map.of("connection", "close"));
-                context.close();
-            } else if (pipelined.size() >= MAX_PIPELINED_REQUESTS) {
+            if (pipelined.size() >= MAX_PIPELINED_REQUESTS) {
+                exchange.connectionClosed();
                 context.close();
             } else {
                 pipelined.add(exchange);
@@ -210,15 +210,6 @@
             }
         }
 
-        private static int errorStatus(Throwable cause) {
-            if (cause instanceof TooLongHttpHeaderException) {
-                return HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE.code();
-            }
-            return cause instanceof TooLongHttpLineException
-                    ? HttpResponseStatus.REQUEST_URI_TOO_LONG.code()
-                    : HttpResponseStatus.BAD_REQUEST.code();
-        }
-
         private void onResponded(ChannelHandlerContext context) {
             current = null;
             timeouts.onResponded(context);
@@ -227,8 +218,11 @@
 
         private void handleNext() {
             if (current == null && !pipelined.isEmpty()) {
-                current = pipelined.remove();
-                handler.handle(current);
+                HttpExchange next = pipelined.remove();
+                current = next;
+                if (!next.refuseUnread()) {
+                    handler.handle(next);
+                }
             }
         }
 
@@ -237,6 +231,8 @@
             if (current != null) {
                 current.connectionClosed();
             }
+            pipelined.forEach(HttpExchange::connectionClosed);
+            pipelined.clear();
         }
 
         @Override
