--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/AbstractForwardedCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/AbstractForwardedCall.java
@@ -322,6 +322,15 @@
         refuse(code, detail, new RetryAfterJitter(context.random()).drawMillis(admitted.route()));
     }
 
+    /** Refuses a request that no target has run if it cannot end before this daemon stops; returns whether it did. */
+    final boolean refuseIfOutlastingDrain() {
+        if (sendHistory.mayHaveRun() || context.drain().endsInTime(admitted)) {
+            return false;
+        }
+        refuseAsDraining("this daemon is draining");
+        return true;
+    }
+
     final void refuseAsDraining(String detail) {
         refuse(RefusalCode.DRAINING, detail, context.drain().retryAfterMillis(admitted.route()));
     }
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamingCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamingCall.java
@@ -80,13 +80,13 @@
     }
 
     private long maxWaitMillis(boolean pathExists) {
-        long objectiveMillis = admitted.route().latencyObjectiveMillis();
         if (started) {
             return resumption.maxWaitMillis(timing.sinceDeliveryMillis());
         }
         return isRetryOrResume()
                 ? RETRY_WAIT_MS
-                : Math.round(objectiveMillis * (pathExists ? QUEUE_WAIT_OBJECTIVES : NO_PATH_WAIT_OBJECTIVES));
+                : Math.round(admitted.route().latencyObjectiveMillis()
+                        * (pathExists ? QUEUE_WAIT_OBJECTIVES : NO_PATH_WAIT_OBJECTIVES));
     }
 
     @Override
@@ -96,8 +96,7 @@
 
     @Override
     public boolean trySend() {
-        if (!started && !sendHistory.mayHaveRun() && !context.drain().endsInTime(admitted)) {
-            refuseAsDraining("this daemon is draining");
+        if (!started && refuseIfOutlastingDrain()) {
             return true;
         }
         Optional<TargetChooser.Choice> choice = chooseWithout(runs.silentInstance());
@@ -431,10 +430,7 @@
         return attempt == null ? null : attempt.path();
     }
 
-    /**
-     * Resumes the stream on another target when it makes no progress, although every target on its path answers probes.
-     * It stays where it is while no other target can run it.
-     */
+    /** Resumes a stream without progress elsewhere, if possible, although all targets of its path answer probes. */
     void resumeIfStuck() {
         Attempt current = attempt;
         if (current == null
