--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/AbstractForwardedCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/AbstractForwardedCall.java
@@ -279,10 +279,10 @@
 
     /**
      * Ends a request that must not run twice and whose target answered, without saying that it did not run it, with a
-     * status that promises this to the caller; returns whether it did.
+     * status by which its caller would take it for not run; returns whether it did.
      */
-    final boolean endIfFalsePromise(Attempt from, TargetResponse response) {
-        if (admitted.route().isIdempotent() || !response.isPromise()) {
+    final boolean endIfWronglyNotRun(Attempt from, TargetResponse response) {
+        if (admitted.route().isIdempotent() || !response.meansNotRun()) {
             return false;
         }
         sendHistory.onMayHaveRun();
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/BufferedCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/BufferedCall.java
@@ -164,7 +164,7 @@
         } else {
             from.target().onAnswer((double) from.elapsedMillis());
         }
-        if (!endIfFalsePromise(from, response)) {
+        if (!endIfWronglyNotRun(from, response)) {
             deliver(response);
         }
     }
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/DrainPolicy.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/DrainPolicy.java
@@ -16,7 +16,8 @@
 
     /**
      * Time since the begin of a drain after which a pace of recent streams that is faster than the objective is no longer
-     * trusted. Targets may slow down, and what is sent later has less room for that.
+     * trusted. Targets may slow down, and what is sent later has less room for that. Shorter than the time for which a
+     * draining daemon stays at least, so that callers that come late are judged strictly.
      */
     private static final long PACE_TRUSTED_MS = 2_500;
     /**
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamingCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamingCall.java
@@ -240,7 +240,7 @@
         TargetResponse response = source.head();
         if (response == null) {
             handleFailure(from, LinkFailure.MALFORMED);
-        } else if (!response.isSuccess() && endIfFalsePromise(from, response)) {
+        } else if (!response.isSuccess() && endIfWronglyNotRun(from, response)) {
             from.target().onFailure();
         } else if (!response.isSuccess()) {
             finish(Ending.ANSWERED, "failed by target", response.status());
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/TargetResponse.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/TargetResponse.java
@@ -35,7 +35,7 @@
     private static final int MULTIPLE_CHOICES = 300;
     private static final int SERVER_ERROR = 500;
     /** Statuses by which a caller knows that its request has not run and never will. */
-    private static final Set<Integer> PROMISES = Set.of(408, 421, 429, 503);
+    private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 421, 429, 503);
 
     /**
      * Tells whether the status is a success.
@@ -54,11 +54,11 @@
     }
 
     /**
-     * Tells whether the status would promise a caller that its request has not run.
+     * Tells whether a caller takes the status to mean that its request has not run.
      * @return true also when the target itself does not say so
      */
-    public boolean isPromise() {
-        return PROMISES.contains(status);
+    public boolean meansNotRun() {
+        return NOT_RUN_STATUSES.contains(status);
     }
 
     /**
--- a/siskinlead-core/src/test/java/org/siskinlead/core/forwarding/BufferedCallTest.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/forwarding/BufferedCallTest.java
@@ -71,7 +71,7 @@
 
     // Guards against a request that ran and is sent again, because its caller was told that it did not run.
     @Test
-    void promisesForNoTargetThatItHasNotRunAnUnsafeRequest() {
+    void doesNotReportAsNotRunWhatATargetMayHaveRun() {
         for (int status : new int[] {408, 429, 503}) {
             RecordedReply reply = bed.send("/unsafe/x");
             bed.link.last().respond(status);
@@ -83,7 +83,7 @@
     }
 
     @Test
-    void promisesForNoTargetThatItHasNotRunAStreamThatCannotBeResumed() {
+    void doesNotReportAStreamAsNotRunThatATargetMayHaveRun() {
         bed.forwarder.onCatalog(catalogOfAStreamThatCannotBeResumed());
         RecordedReply reply = bed.send("/once/x");
         bed.link.last().respond(429);
