--- a/siskinlead-core/src/main/java/org/siskinlead/core/gateway/Gateway.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/gateway/Gateway.java
@@ -37,8 +37,8 @@
     private static final long MIN_DRAIN_MS = 3_000;
 
     private static final long DRAIN_POLL_INTERVAL_MS = 50;
-    /** Time after which callers know of a daemon that was listed: what the directory told them has expired. */
-    private static final long KNOWN_TO_CALLERS_MS = 2_000;
+    /** Lifetimes of a directory answer after which most callers know of a daemon that was listed; some keep it longer. */
+    private static final int DIRECTORY_TTLS_UNTIL_KNOWN = 2;
 
     /**
      * Multiplier that distributes similar hash codes over all integers: 2^32 divided by the golden ratio (Knuth, The
@@ -57,6 +57,7 @@
     private final CrashReports crashReports;
     private final TargetRateLimits rateLimits;
     private final RateLimitReports rateLimitReports;
+    private final long knownToCallersMillis;
     private Consumer<Catalog> catalogListener = catalog -> {};
     private boolean listening;
     private boolean draining;
@@ -84,17 +85,26 @@
      * @param maxProofAgeMillis age at which a proof that the catalog is recent expires, in milliseconds
      * @param retries limits on the retries that all daemons together may send to a service
      * @param eras settings for a store that was restored from an older snapshot
+     * @param directoryTtlMillis time for which callers may keep an answer of the directory, in milliseconds
      */
-    public record Settings(long maxProofAgeMillis, RetryBudgetShare.Budget retries, EraGuard.Settings eras) {
+    public record Settings(
+            long maxProofAgeMillis, RetryBudgetShare.Budget retries, EraGuard.Settings eras, long directoryTtlMillis) {
+        private static final long DEFAULT_DIRECTORY_TTL_MS = 1_000;
+
         /** Creates settings of a daemon that starts later than the whole system. */
         public Settings(long maxProofAgeMillis, RetryBudgetShare.Budget retries) {
-            this(maxProofAgeMillis, retries, new EraGuard.Settings(maxProofAgeMillis, EraGuard.Start.LATER));
+            this(
+                    maxProofAgeMillis,
+                    retries,
+                    new EraGuard.Settings(maxProofAgeMillis, EraGuard.Start.LATER),
+                    DEFAULT_DIRECTORY_TTL_MS);
         }
     }
 
     private Gateway(RosterEntry self, Ports ports, Settings settings, Timeline timeline) {
         this.self = self;
         this.timers = ports.timers();
+        this.knownToCallersMillis = DIRECTORY_TTLS_UNTIL_KNOWN * settings.directoryTtlMillis();
         this.timeline = timeline;
         this.freshness = Freshness.of(timers, settings.maxProofAgeMillis());
         this.registry = TargetRegistry.of(timers, timeline);
@@ -246,7 +256,7 @@
      * says nothing.
      */
     private boolean othersServe() {
-        return !storeLost && roster.listsOtherFor(KNOWN_TO_CALLERS_MS);
+        return !storeLost && roster.listsOtherFor(knownToCallersMillis);
     }
 
     /** Counts the daemons that come before this one in the order of their names. */
