Let requests wait for as long as that is of use to their callers

What callers saw: a stream that lost its path and found no room was held until its caller left, and nobody told the caller anything; a stream that a target had turned away was held for 1.5 s whatever was left; a first try was refused after 2.4 or 0.5 latency objectives although its caller waits for 2 s, and a call after half an objective although most of its time budget was left.

Cause: waits were fixed figures and multiples of the objective, that of begun streams half a second longer than the caller's patience "so that the caller is the one to leave".

Now every request waits until its caller's clock, less the time that the service needs for the first part of an answer (smoothed mean and deviation of what was observed). It ends then, or as soon as the rate of sends says that its turn comes later, or at once where the targets in service have no path. A first try for which there is room is sent in any case.

The old test endsAStreamThatNoTargetResumesOnceItsCallerHasLostPatience asserted the fault: open until the caller's limit, ended after it. Its replacement asks for an end at most one time to the first event before the limit, and at least for the wait until shortly before.

--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/AbstractForwardedCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/AbstractForwardedCall.java
@@ -42,6 +42,8 @@
     private @Nullable Suspect suspect;
 
     private boolean done;
+    /** Why the last attempt failed, empty before one has. */
+    String lastFailure = "";
 
     AbstractForwardedCall(
             ForwardingContext context,
@@ -89,8 +91,8 @@
 
     // Implemented by the subclasses
 
-    /** Sends the request now, or queues it. */
-    abstract void sendOrWait();
+    /** Tells whether the caller has a part of the answer, which is lost unless the rest of it follows. */
+    abstract boolean isBegun();
 
     /** Sends the request again, after the checks of the retry limits have passed. */
     abstract void retry(String reason);
@@ -104,6 +106,9 @@
     /** Tells whether the caller has received a part of the answer. */
     abstract boolean hasDelivered();
 
+    /** Tells whether the request may be sent before those that are queued. */
+    abstract boolean passesQueue();
+
     /** Runs at the deadline of the request. */
     abstract void onDeadline();
 
@@ -117,6 +122,49 @@
         sendOrWait();
     }
 
+    /** Sends the request now, or queues it for as long as a send is of use to its caller, or ends it. */
+    final void sendOrWait() {
+        if (passesQueue() && isSendOfUse() && trySend()) {
+            return;
+        }
+        long waitMillis = latestSendAt() - context.timers().nowMillis();
+        if (refuseIfUnusableFor(waitMillis) || refuseIfWithoutPath()) {
+            return;
+        }
+        if (!isSendOfUse()) {
+            onExpired();
+        } else if (!passesQueue() && !queue.expectsSendInTime(this)) {
+            refuse(RefusalCode.QUEUE_FULL, "too many requests are queued for target capacity");
+        } else {
+            recordQueued(waitMillis);
+            queue.add(this);
+        }
+    }
+
+    /** Tells whether an answer to a send can still reach the caller in time; what has just arrived is tried at least once. */
+    private boolean isSendOfUse() {
+        return context.timers().nowMillis() <= latestSendAt()
+                || (sendHistory.sendCount() == 0 && context.timers().nowMillis() == admitted.receivedAt());
+    }
+
+    /** Refuses a request for which the targets in service have no path at all; a begun one waits for them to change. */
+    private boolean refuseIfWithoutPath() {
+        if (isBegun() || sendHistory.mayHaveRun() || chooser.hasPathInService(admitted)) {
+            return false;
+        }
+        refuse(RefusalCode.OVERLOADED, "no target in service can run this request");
+        return true;
+    }
+
+    /** Runs when a send is no longer of use, or the queue is too long for one in time. */
+    @Override
+    public final void onExpired() {
+        giveUp(
+                lastFailure.isEmpty()
+                        ? "no target had free capacity in time"
+                        : "no other target had free capacity in time after " + lastFailure);
+    }
+
     /** Records what an answer says of its target itself. */
     final void recordSignals(Attempt from, TargetResponse response) {
         if (response.load() >= 0) {
@@ -152,7 +200,7 @@
         return faulty;
     }
 
-    final void recordQueued(long waitMillis, boolean pathExists) {
+    private void recordQueued(long waitMillis) {
         context.counters().increment(Count.QUEUED);
         context.timeline()
                 .record(
@@ -162,9 +210,7 @@
                         "ahead",
                         queue.length(),
                         "atMostMs",
-                        waitMillis,
-                        "pathExists",
-                        pathExists);
+                        waitMillis);
     }
 
     final void recordMalformed(RuntimeException cause) {
@@ -182,7 +228,7 @@
 
     /** Refuses the request if no target can be used within a time; returns whether it did. */
     final boolean refuseIfUnusableFor(long waitMillis) {
-        long unusableMillis = chooser.millisToUse(admitted, queue.lengthAhead(priority()));
+        long unusableMillis = chooser.millisToUse(admitted, queue.lengthAhead(this));
         if (unusableMillis <= waitMillis) {
             return false;
         }
@@ -247,6 +293,7 @@
 
     /** Sends the request again after a failure if its attempts and the retry budget allow it. */
     void retryOrGiveUp(String reason, RetryBudgetShare.Cost cost) {
+        lastFailure = reason;
         attempt = null;
         if (!sendHistory.allowsRetry()) {
             giveUp(reason);
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/BufferedCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/BufferedCall.java
@@ -19,8 +19,6 @@
  * target only when it is known that no target has executed it.
  */
 final class BufferedCall extends AbstractForwardedCall implements ResponseMemory.Holder {
-    /** Longest wait for a usable target, as a multiple of the latency objective. */
-    private static final double QUEUE_WAIT_OBJECTIVES = 0.5;
     /** Wait for the response head of a safe request before another target is tried, in average target latencies. */
     private static final double HEAD_TIMEOUT_LATENCIES = 5;
     /** Bounds of that wait, as multiples of the latency objective. */
@@ -56,13 +54,11 @@
 
     // Sending
 
+    /** Gets the time at which the caller or the route gives up, less the time until a target has answered. */
     @Override
-    void sendOrWait() {
-        long waitMillis = Math.round(QUEUE_WAIT_OBJECTIVES * admitted.route().latencyObjectiveMillis());
-        if (!trySend() && !refuseIfUnusableFor(waitMillis)) {
-            context.counters().increment(Count.QUEUED);
-            queue.add(this, waitMillis);
-        }
+    public long latestSendAt() {
+        return admitted.deadlineAt()
+                - context.answerTimes().expectedMillis(admitted.service().name());
     }
 
     @Override
@@ -70,6 +66,16 @@
         return admitted.priority();
     }
 
+    @Override
+    boolean passesQueue() {
+        return true;
+    }
+
+    @Override
+    boolean isBegun() {
+        return false;
+    }
+
     @Override
     public boolean trySend() {
         Optional<TargetChooser.Choice> choice =
@@ -79,6 +85,7 @@
         }
         discardBody();
         head = null;
+        queue.onSent();
         sendHistory.onSent(choice.get().target());
         Attempt next = new Attempt(context, admitted, choice.get(), this);
         attempt = next;
@@ -86,7 +93,7 @@
         if (admitted.route().kind() == RouteKind.SAFE) {
             headTimeout = context.timers().after(headTimeoutMillis(choice.get().target()), () -> onHeadTimeout(next));
         }
-        next.start(sendHistory.sendCount(), 0, admitted.priority());
+        next.start(sendHistory.sendCount(), 0, priority());
         return true;
     }
 
@@ -98,11 +105,6 @@
                 Math.min(MAX_HEAD_TIMEOUT_OBJECTIVES * objectiveMillis, latencyBasedMillis)));
     }
 
-    @Override
-    public void onExpired() {
-        giveUp("no usable target in time");
-    }
-
     // Responses
 
     @Override
@@ -163,6 +165,7 @@
             }
         } else {
             from.target().onAnswer((double) from.elapsedMillis());
+            context.answerTimes().onAnswer(admitted.service().name(), (double) from.elapsedMillis());
         }
         if (!endIfWronglyNotRun(from, response)) {
             deliver(response);
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/Forwarder.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/Forwarder.java
@@ -124,6 +124,7 @@
                 rateLimits,
                 new ResponseMemory(),
                 streamPace,
+                AnswerTimes.of(timers),
                 DrainPolicy.of(timers, streamPace),
                 counters,
                 random,
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/ForwardingContext.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/ForwardingContext.java
@@ -21,6 +21,7 @@
         TargetRateLimits rateLimits,
         ResponseMemory responseMemory,
         StreamPace streamPace,
+        AnswerTimes answerTimes,
         DrainPolicy drain,
         ForwardingCounters counters,
         RandomGenerator random,
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/RequestQueue.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/RequestQueue.java
@@ -5,18 +5,21 @@
 import java.util.List;
 import org.siskinlead.core.time.Timers;
 
-/** Queue of requests that wait for target capacity, ordered by priority and then by arrival. */
+/**
+ * Queue of requests that wait for target capacity, by priority and then by the time that each has left. A request waits
+ * only while an answer can still be of use to its caller, and while the rate of sends lets it expect its turn by then.
+ */
 final class RequestQueue {
     private static final long TICK_MS = 10;
     /** Failed sends in one tick after which the rest of the queue is skipped until the next one. */
     private static final int MAX_FAILED_SENDS_PER_TICK = 4;
-    /** Lower bound of the length limit, used while no request has been sent recently. */
-    private static final int MIN_LENGTH_LIMIT = 8;
 
     private static final long RATE_WINDOW_MS = 1_000;
 
     private final Timers timers;
     private boolean ticking;
+    private long waitingSince;
+    private long lastSentAt;
     private long windowStartedAt;
     private int sentInWindow;
     private int sentInPreviousWindow;
@@ -26,16 +29,27 @@
         /** Gets the priority, 0 is served first. */
         int priority();
 
+        /** Gets the last time at which a send is of use to the caller, in milliseconds of the monotonic clock. */
+        long latestSendAt();
+
         /** Tries to send the request; returns false when no target has capacity. */
         boolean trySend();
 
-        /** Runs when the maximum wait has passed and the request has not been sent. */
+        /** Runs when the request has been removed because it cannot be sent in time. */
         void onExpired();
     }
 
-    private record Entry(Waiter waiter, int priority, long enqueuedAt, long expiresAt) {}
+    /** A waiter with its place, which is fixed until the queue is sorted again. */
+    private record Entry(Waiter waiter, int priority, long latestSendAt) {
+        private static final Comparator<Entry> ORDER =
+                Comparator.comparingInt(Entry::priority).thenComparingLong(Entry::latestSendAt);
+
+        static Entry of(Waiter waiter) {
+            return new Entry(waiter, waiter.priority(), waiter.latestSendAt());
+        }
+    }
 
-    private final List<Entry> queue = new ArrayList<>();
+    private List<Entry> queue = new ArrayList<>();
 
     RequestQueue(Timers timers) {
         this.timers = timers;
@@ -47,23 +61,48 @@
         return queue.size();
     }
 
-    /** Counts the queued requests that are served before a new one with a priority. */
-    int lengthAhead(int priority) {
-        return (int) queue.stream().filter(e -> e.priority() <= priority).count();
+    /** Counts the queued requests that are served before a request. */
+    int lengthAhead(Waiter waiter) {
+        Entry entry = Entry.of(waiter);
+        return (int)
+                queue.stream().filter(e -> Entry.ORDER.compare(e, entry) <= 0).count();
     }
 
-    /** Estimates from the current rate of sends whether one more request would wait longer than the given time. */
-    boolean wouldExceedWait(long waitMillis) {
-        double rate = Math.max(sentInWindow, sentInPreviousWindow) / (double) RATE_WINDOW_MS;
-        return queue.size() >= Math.max(MIN_LENGTH_LIMIT, rate * waitMillis);
+    /** Tells whether a request that joins the queue now can expect to be sent while that is of use to its caller. */
+    boolean expectsSendInTime(Waiter waiter) {
+        return expectsSendInTime(waiter.latestSendAt(), lengthAhead(waiter));
     }
 
-    // Commands
+    /** Estimates the time until a number of requests have been sent, in milliseconds, from the rate of sends. */
+    long expectedMillis(int sends) {
+        double perMillis = sendsPerMillis();
+        return perMillis > 0 ? Math.round(sends / perMillis) : 0;
+    }
+
+    private boolean expectsSendInTime(long latestSendAt, int ahead) {
+        return timers.nowMillis() + expectedMillis(ahead) <= latestSendAt;
+    }
 
-    void add(Waiter waiter, long waitMillis) {
+    /** Gets the rate of sends, which is lower than one in the time for which requests have waited without any. */
+    private double sendsPerMillis() {
         long now = timers.nowMillis();
-        queue.add(new Entry(waiter, waiter.priority(), now, now + waitMillis));
-        queue.sort(Comparator.comparingInt(Entry::priority).thenComparingLong(Entry::enqueuedAt));
+        long age = now - windowStartedAt;
+        int sent = age < RATE_WINDOW_MS
+                ? Math.max(sentInWindow, sentInPreviousWindow)
+                : age < 2 * RATE_WINDOW_MS ? sentInWindow : 0;
+        long withoutSend = queue.isEmpty() ? 0 : now - Math.max(lastSentAt, waitingSince);
+        double atMost = withoutSend > 0 ? 1.0 / withoutSend : Double.POSITIVE_INFINITY;
+        return Math.max(sent / (double) RATE_WINDOW_MS, atMost);
+    }
+
+    // Commands
+
+    void add(Waiter waiter) {
+        if (queue.isEmpty()) {
+            waitingSince = timers.nowMillis();
+        }
+        queue.add(Entry.of(waiter));
+        queue.sort(Entry.ORDER);
         if (!ticking) {
             ticking = true;
             timers.after(TICK_MS, this::tick);
@@ -83,12 +122,18 @@
             windowStartedAt = now;
         }
         sentInWindow++;
+        lastSentAt = now;
     }
 
     private void tick() {
         try {
-            serve();
+            // The time that a request needs to be answered changes with what is observed of the targets.
+            queue = new ArrayList<>(queue.stream()
+                    .map(e -> Entry.of(e.waiter()))
+                    .sorted(Entry.ORDER)
+                    .toList());
             expire();
+            serve();
         } finally {
             ticking = !queue.isEmpty();
             if (ticking) {
@@ -97,6 +142,17 @@
         }
     }
 
+    private void expire() {
+        int ahead = 0;
+        for (Entry entry : List.copyOf(queue)) {
+            if (expectsSendInTime(entry.latestSendAt(), ahead)) {
+                ahead++;
+            } else if (queue.remove(entry)) {
+                entry.waiter().onExpired();
+            }
+        }
+    }
+
     private void serve() {
         int failed = 0;
         for (Entry entry : List.copyOf(queue)) {
@@ -123,13 +179,4 @@
             throw e;
         }
     }
-
-    private void expire() {
-        long now = timers.nowMillis();
-        for (Entry entry : List.copyOf(queue)) {
-            if (now >= entry.expiresAt() && queue.remove(entry)) {
-                entry.waiter().onExpired();
-            }
-        }
-    }
 }
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamResumption.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamResumption.java
@@ -5,11 +5,8 @@
 import java.util.Set;
 import org.siskinlead.core.forwarding.TargetChooser.CapacityCheck;
 
-/** Decides where a stream that has begun is resumed, how long it may wait for that, and charges it to the retry budget. */
+/** Decides where a stream that has begun is resumed, and charges that to the retry budget. */
 final class StreamResumption {
-    /** Time for which a stream outlasts the patience of its caller, so that the caller is the one to leave. */
-    private static final long PATIENCE_MARGIN_MS = 500;
-
     private final ForwardingContext context;
     private final TargetChooser chooser;
     private final AdmittedRequest admitted;
@@ -38,11 +35,6 @@
         return chooser.choose(admitted, excluded, sendHistory::allowsResumeAt, CapacityCheck.ENFORCED);
     }
 
-    /** Gets the time for which the stream may wait for capacity; its caller leaves before. */
-    long maxWaitMillis(long sinceDeliveryMillis) {
-        return Math.max(0, admitted.callerPatienceMillis() + PATIENCE_MARGIN_MS - sinceDeliveryMillis);
-    }
-
     // Commands
 
     /** Sets the cost of the resumption that is due. */
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamingCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamingCall.java
@@ -19,12 +19,6 @@
  * target fails, the stream is resumed on another one after the last delivered event, if the route allows retries.
  */
 final class StreamingCall extends AbstractForwardedCall {
-    /** Longest wait for capacity, in latency objectives; beyond it a refusal with a retry time is better. */
-    private static final double QUEUE_WAIT_OBJECTIVES = 2.4;
-    /** Longest wait while no path exists at all, as a multiple of the latency objective. */
-    private static final double NO_PATH_WAIT_OBJECTIVES = 0.5;
-    /** Longest wait for capacity to retry a stream of which nothing has been delivered. */
-    private static final long RETRY_WAIT_MS = 1_500;
     /** Priority of a retried or resumed stream, ahead of new ones: its caller may be in the middle of an answer. */
     private static final int RETRY_PRIORITY = 0;
 
@@ -33,7 +27,6 @@
     private final StreamResumption resumption;
     private boolean started;
     private long lastEventId;
-    private String lastFailure = "";
 
     private StreamingCall(
             ForwardingContext context,
@@ -60,33 +53,13 @@
 
     // Sending
 
+    /** Gets the time at which the caller leaves unless it gets an event, less the time until an event of a send arrives. */
     @Override
-    void sendOrWait() {
-        if ((queue.length() == 0 || isRetryOrResume()) && trySend()) {
-            return;
-        }
-        boolean pathExists = chooser.choose(admitted, sendHistory.excludedInstances(), CapacityCheck.SKIPPED)
-                .isPresent();
-        long waitMillis = maxWaitMillis(pathExists);
-        if (refuseIfUnusableFor(waitMillis)) {
-            return;
-        }
-        if (!isRetryOrResume() && queue.wouldExceedWait(waitMillis)) {
-            refuse(RefusalCode.QUEUE_FULL, "too many requests are queued for target capacity");
-            return;
-        }
-        recordQueued(waitMillis, pathExists);
-        queue.add(this, waitMillis);
-    }
-
-    private long maxWaitMillis(boolean pathExists) {
-        if (started) {
-            return resumption.maxWaitMillis(timing.sinceDeliveryMillis());
-        }
-        return isRetryOrResume()
-                ? RETRY_WAIT_MS
-                : Math.round(admitted.route().latencyObjectiveMillis()
-                        * (pathExists ? QUEUE_WAIT_OBJECTIVES : NO_PATH_WAIT_OBJECTIVES));
+    public long latestSendAt() {
+        long callerLeavesAt =
+                context.timers().nowMillis() - timing.sinceDeliveryMillis() + admitted.callerPatienceMillis();
+        return Math.min(callerLeavesAt, admitted.deadlineAt())
+                - context.answerTimes().expectedMillis(admitted.service().name());
     }
 
     @Override
@@ -94,6 +67,22 @@
         return isRetryOrResume() ? RETRY_PRIORITY : 1 + admitted.priority();
     }
 
+    @Override
+    boolean passesQueue() {
+        return queue.length() == 0 || isRetryOrResume();
+    }
+
+    /** Tells whether the request was already sent, or the caller itself resumes a stream of which it has a part. */
+    private boolean isRetryOrResume() {
+        return sendHistory.sendCount() > 0 || lastEventId > 0;
+    }
+
+    /** Tells whether the caller has a part of the answer, be it from this daemon or from one before. */
+    @Override
+    boolean isBegun() {
+        return started || lastEventId > 0;
+    }
+
     @Override
     public boolean trySend() {
         if (!started && refuseIfOutlastingDrain()) {
@@ -114,14 +103,6 @@
         return true;
     }
 
-    @Override
-    public void onExpired() {
-        giveUp(
-                lastFailure.isEmpty()
-                        ? "no target had free capacity in time"
-                        : "no other target had free capacity after " + lastFailure);
-    }
-
     private Optional<TargetChooser.Choice> chooseWithout(Set<String> instanceIds) {
         if (started) {
             return resumption.chooseWithout(instanceIds);
@@ -131,11 +112,6 @@
         return chooser.choose(admitted, excluded, CapacityCheck.ENFORCED);
     }
 
-    /** Tells whether the request was already sent, or the caller itself resumes a stream of which it has a part. */
-    private boolean isRetryOrResume() {
-        return sendHistory.sendCount() > 0 || lastEventId > 0;
-    }
-
     // Responses
 
     @Override
@@ -153,15 +129,17 @@
             from.cancel();
             from.target().onFailure();
             sendHistory.exclude(from.target().entry().instanceId());
-            lastFailure = from.target().entry().id() + " answered with status " + response.status()
-                    + " when the stream was resumed";
-            retryOrGiveUp(lastFailure, RetryBudgetShare.Cost.BUDGETED);
+            retryOrGiveUp(
+                    from.target().entry().id() + " answered with status " + response.status()
+                            + " when the stream was resumed",
+                    RetryBudgetShare.Cost.BUDGETED);
         } else if (!response.isSuccess() && sendHistory.allowsRetry() && response.isServerError()) {
             from.cancel();
             from.target().onFailure();
             sendHistory.onMayHaveRun();
-            lastFailure = from.target().entry().id() + " answered with status " + response.status();
-            retryOrGiveUp(lastFailure, RetryBudgetShare.Cost.BUDGETED);
+            retryOrGiveUp(
+                    from.target().entry().id() + " answered with status " + response.status(),
+                    RetryBudgetShare.Cost.BUDGETED);
         } else {
             runs.of(from).onHead(response);
         }
@@ -225,6 +203,7 @@
         long sinceSendMillis = timing.onEvents(events);
         if (sinceSendMillis >= 0) {
             from.target().onAnswer((double) sinceSendMillis);
+            context.answerTimes().onAnswer(admitted.service().name(), (double) sinceSendMillis);
         }
         sendHistory.onMayHaveRun();
         // A target that has written for as long as its longest pause may be lives on.
@@ -272,7 +251,6 @@
             sendHistory.exclude(from.target().entry().instanceId());
             return;
         }
-        lastFailure = from.target().entry().id() + " failed: " + failure;
         if (failure.mayHaveRun()) {
             sendHistory.onMayHaveRun();
             from.target().onFailure();
@@ -287,14 +265,17 @@
             from.target().avoid(AVOID_UNREACHABLE_MS);
             context.prober().check(from.target(), admitted.request().id());
         }
-        retryOrGiveUp(lastFailure, failure.mayHaveRun() ? RetryBudgetShare.Cost.BUDGETED : RetryBudgetShare.Cost.FREE);
+        retryOrGiveUp(
+                from.target().entry().id() + " failed: " + failure,
+                failure.mayHaveRun() ? RetryBudgetShare.Cost.BUDGETED : RetryBudgetShare.Cost.FREE);
     }
 
     private void onTargetRefusal(Attempt from, TargetResponse response) {
         TargetHealth faulty = avoidFaulty(from, response);
         sendHistory.onNotRun(from.target());
-        lastFailure = faulty.entry().id() + " refused the request with status " + response.status();
-        retryOrGiveUp(lastFailure, RetryBudgetShare.Cost.BUDGETED);
+        retryOrGiveUp(
+                faulty.entry().id() + " refused the request with status " + response.status(),
+                RetryBudgetShare.Cost.BUDGETED);
     }
 
     @Override
@@ -317,8 +298,7 @@
         }
         current.cancel();
         sendHistory.onMayHaveRun();
-        lastFailure = instanceId + " was found down";
-        retryOrGiveUp(lastFailure, RetryBudgetShare.Cost.BUDGETED);
+        retryOrGiveUp(instanceId + " was found down", RetryBudgetShare.Cost.BUDGETED);
     }
 
     @Override
@@ -327,6 +307,7 @@
             super.retryOrGiveUp(reason, cost);
             return;
         }
+        lastFailure = reason;
         attempt = null;
         if (sendHistory.allowsResume()) {
             resumption.onDue(cost);
@@ -378,7 +359,6 @@
         } else {
             runs.keepAsSilent();
         }
-        lastFailure = reason;
         retryOrGiveUp(reason, RetryBudgetShare.Cost.BUDGETED);
     }
 
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/TargetChooser.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/TargetChooser.java
@@ -114,6 +114,14 @@
                 .map(path -> new Choice(path.first().target(), path));
     }
 
+    /** Tells whether the targets in service could run a request, also those that are down or avoided for a time. */
+    boolean hasPathInService(AdmittedRequest request) {
+        List<TargetHealth> inService = context.registry().of(request.service().name()).stream()
+                .filter(TargetHealth::isInService)
+                .toList();
+        return cheapest(request, inService, CapacityCheck.SKIPPED).isPresent();
+    }
+
     /** Tells whether the limit of a target lets this daemon send it a request now. */
     private boolean limitLeavesRoom(AdmittedRequest request, TargetHealth target) {
         String instanceId = target.entry().instanceId();
--- a/siskinlead-core/src/test/java/org/siskinlead/core/forwarding/RequestQueueTest.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/forwarding/RequestQueueTest.java
@@ -16,12 +16,10 @@
 
     @Test
     void servesTheOtherRequestsAfterOneThrows() {
-        queue.add(
-                waiter("faulty", () -> {
-                    throw new IllegalStateException("a fault");
-                }),
-                500);
-        queue.add(waiter("sound", () -> true), 500);
+        queue.add(waiter("faulty", 500, () -> {
+            throw new IllegalStateException("a fault");
+        }));
+        queue.add(waiter("sound", 500, () -> true));
 
         assertThrows(IllegalStateException.class, () -> timers.advance(20));
         timers.advance(50);
@@ -32,7 +30,7 @@
 
     @Test
     void endsTheWaitOfARequestThatFindsNoRoom() {
-        queue.add(waiter("late", () -> false), 100);
+        queue.add(waiter("late", 100, () -> false));
 
         timers.advance(90);
         assertThat(ended).isEmpty();
@@ -41,13 +39,48 @@
         assertThat(ended).containsExactly("late expired");
     }
 
-    private RequestQueue.Waiter waiter(String name, BooleanSupplier send) {
+    // Guards against callers that wait until their time is over although the queue before them is too long.
+    @Test
+    void endsTheWaitAtOnceOfARequestWhoseTurnCannotComeInTime() {
+        for (int i = 0; i < 20; i++) {
+            queue.add(waiter("first" + i, 10_000, () -> false));
+        }
+        timers.advance(100);
+        RequestQueue.Waiter late = waiter("late", 1_000, () -> false);
+
+        assertThat(queue.expectsSendInTime(late)).isTrue();
+        assertThat(queue.lengthAhead(late)).isEqualTo(0);
+        RequestQueue.Waiter last = waiter("last", 10_001, () -> false);
+        assertThat(queue.lengthAhead(last)).isEqualTo(20);
+        timers.advance(500);
+        assertThat(queue.expectsSendInTime(last)).isFalse();
+    }
+
+    @Test
+    void servesFirstWhoeverHasLeastTimeLeft() {
+        boolean[] room = new boolean[1];
+        queue.add(waiter("patient", 900, () -> room[0]));
+        queue.add(waiter("hurried", 300, () -> room[0]));
+        timers.advance(50);
+        room[0] = true;
+        timers.advance(20);
+
+        assertThat(ended).containsExactly("hurried sent", "patient sent").inOrder();
+    }
+
+    private RequestQueue.Waiter waiter(String name, long usefulMillis, BooleanSupplier send) {
+        long latestSendAt = timers.nowMillis() + usefulMillis;
         return new RequestQueue.Waiter() {
             @Override
             public int priority() {
                 return 0;
             }
 
+            @Override
+            public long latestSendAt() {
+                return latestSendAt;
+            }
+
             @Override
             public boolean trySend() {
                 boolean sent = send.getAsBoolean();
--- a/siskinlead-core/src/test/java/org/siskinlead/core/forwarding/ResumedStreamTest.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/forwarding/ResumedStreamTest.java
@@ -17,6 +17,8 @@
     /** Callers leave after eight times the gap objective, four times the latency objective, or this time. */
     private static final long CALLER_PATIENCE_MS = 2_000;
 
+    private static final long TIME_TO_FIRST_EVENT_MS = 200;
+
     private final ForwardingTestBed bed = new ForwardingTestBed();
 
     // Guards against streams that are cut because a target refused them, without running them, before they began.
@@ -154,21 +156,39 @@
         }
     }
 
+    // Guards against callers that are never told, and leave at their own limit instead of going on elsewhere in time.
     @Test
-    void endsAStreamThatNoTargetResumesOnceItsCallerHasLostPatience() {
+    void endsAStreamOnceNoEventCanReachItsCallerInTime() {
         RecordedReply reply = bed.send("/stream/x");
+        bed.timers.advance(TIME_TO_FIRST_EVENT_MS);
         begin(bed.link.last(), 5);
-        for (String target : new String[] {"east-low", "west-low"}) {
-            bed.registry.find(target).orElseThrow().avoid(CALLER_PATIENCE_MS);
-        }
+        long lastEventAt = bed.timers.nowMillis();
         bed.link.last().fail(LinkFailure.BROKEN);
-        bed.timers.advance(CALLER_PATIENCE_MS - 100);
-        assertThat(reply.isOpen()).isTrue();
+        int refused = 1;
+        while (reply.isOpen() && bed.timers.nowMillis() < lastEventAt + 2 * CALLER_PATIENCE_MS) {
+            if (bed.link.received.size() > refused) {
+                refused = bed.link.received.size();
+                bed.link.last().respondNotRun(503);
+            }
+            bed.timers.advance(5);
+        }
 
+        assertThat(reply.aborted).isTrue();
+        long waitedMillis = bed.timers.nowMillis() - lastEventAt;
+        assertThat(waitedMillis).isAtMost(CALLER_PATIENCE_MS - TIME_TO_FIRST_EVENT_MS);
+        assertThat(waitedMillis).isAtLeast(CALLER_PATIENCE_MS - 3 * TIME_TO_FIRST_EVENT_MS);
+    }
+
+    // Guards against callers that wait for targets of which it is known that none accepts the stream in time.
+    @Test
+    void endsAStreamAtOnceThatNoTargetAcceptsInTime() {
+        RecordedReply reply = bed.send("/stream/x");
+        begin(bed.link.last(), 5);
         for (String target : new String[] {"east-low", "west-low"}) {
-            bed.registry.find(target).orElseThrow().avoid(CALLER_PATIENCE_MS);
+            bed.registry.find(target).orElseThrow().avoid(CALLER_PATIENCE_MS + 100);
         }
-        bed.timers.advance(CALLER_PATIENCE_MS);
+        bed.link.last().fail(LinkFailure.BROKEN);
+
         assertThat(reply.aborted).isTrue();
     }
 
