Serve requests that wait by priority and time left, however often they were sent

What callers saw: a caller waited behind less urgent ones whose requests a target had turned away before, and a call behind one that came later. Cause: a stream that had been sent once passed the queue, its bound and every first try of any priority; calls were sent without a look at the queue.

Now the place follows from the priority of the team or route, then from the time that is left; only a caller that has a part of its answer goes first, as that part is lost if the rest does not follow. All are refused when the queue is too long for them. Four failed sends end a turn within a priority only, so that begun streams without a target do not block the others.

--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/AbstractForwardedCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/AbstractForwardedCall.java
@@ -23,6 +23,8 @@
     /** Time for which a target that another target reported as faulty is avoided. */
     private static final long AVOID_REPORTED_MS = 700;
 
+    private static final int BEGUN_PRIORITY = 0;
+
     /** Status of a target other than the expected one, which has not run the request (RFC 9110, section 15.5.20). */
     static final int MISDIRECTED_REQUEST = 421;
 
@@ -106,9 +108,6 @@
     /** Tells whether the caller has received a part of the answer. */
     abstract boolean hasDelivered();
 
-    /** Tells whether the request may be sent before those that are queued. */
-    abstract boolean passesQueue();
-
     /** Runs at the deadline of the request. */
     abstract void onDeadline();
 
@@ -124,7 +123,7 @@
 
     /** Sends the request now, or queues it for as long as a send is of use to its caller, or ends it. */
     final void sendOrWait() {
-        if (passesQueue() && isSendOfUse() && trySend()) {
+        if (queue.lengthAhead(this) == 0 && isSendOfUse() && trySend()) {
             return;
         }
         long waitMillis = latestSendAt() - context.timers().nowMillis();
@@ -133,14 +132,31 @@
         }
         if (!isSendOfUse()) {
             onExpired();
-        } else if (!passesQueue() && !queue.expectsSendInTime(this)) {
-            refuse(RefusalCode.QUEUE_FULL, "too many requests are queued for target capacity");
+        } else if (!queue.expectsSendInTime(this)) {
+            endAsQueueFull();
         } else {
             recordQueued(waitMillis);
             queue.add(this);
         }
     }
 
+    /**
+     * Gets the place among the requests that wait: first those whose caller has a part of the answer, which is lost if the
+     * rest does not follow, then by the priority of the team or the route. How often a request was sent counts nothing.
+     */
+    @Override
+    public final int priority() {
+        return isBegun() ? BEGUN_PRIORITY : BEGUN_PRIORITY + 1 + admitted.priority();
+    }
+
+    private void endAsQueueFull() {
+        if (sendHistory.mayHaveRun()) {
+            giveUp("too many requests are queued for target capacity");
+        } else {
+            refuse(RefusalCode.QUEUE_FULL, "too many requests are queued for target capacity");
+        }
+    }
+
     /** Tells whether an answer to a send can still reach the caller in time; what has just arrived is tried at least once. */
     private boolean isSendOfUse() {
         return context.timers().nowMillis() <= latestSendAt()
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/BufferedCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/BufferedCall.java
@@ -61,16 +61,6 @@
                 - context.answerTimes().expectedMillis(admitted.service().name());
     }
 
-    @Override
-    public int priority() {
-        return admitted.priority();
-    }
-
-    @Override
-    boolean passesQueue() {
-        return true;
-    }
-
     @Override
     boolean isBegun() {
         return false;
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/RequestQueue.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/RequestQueue.java
@@ -11,7 +11,7 @@
  */
 final class RequestQueue {
     private static final long TICK_MS = 10;
-    /** Failed sends in one tick after which the rest of the queue is skipped until the next one. */
+    /** Failed sends of one priority in one tick after which the others of that priority are skipped until the next one. */
     private static final int MAX_FAILED_SENDS_PER_TICK = 4;
 
     private static final long RATE_WINDOW_MS = 1_000;
@@ -155,11 +155,11 @@
 
     private void serve() {
         int failed = 0;
+        int priority = Integer.MIN_VALUE;
         for (Entry entry : List.copyOf(queue)) {
-            if (failed >= MAX_FAILED_SENDS_PER_TICK) {
-                return;
-            }
-            if (!queue.contains(entry)) {
+            failed = entry.priority() == priority ? failed : 0;
+            priority = entry.priority();
+            if (failed >= MAX_FAILED_SENDS_PER_TICK || !queue.contains(entry)) {
                 continue;
             }
             if (trySend(entry)) {
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamingCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamingCall.java
@@ -19,9 +19,6 @@
  * target fails, the stream is resumed on another one after the last delivered event, if the route allows retries.
  */
 final class StreamingCall extends AbstractForwardedCall {
-    /** Priority of a retried or resumed stream, ahead of new ones: its caller may be in the middle of an answer. */
-    private static final int RETRY_PRIORITY = 0;
-
     private final StreamRuns runs = new StreamRuns();
     private final StreamTiming timing;
     private final StreamResumption resumption;
@@ -62,21 +59,6 @@
                 - context.answerTimes().expectedMillis(admitted.service().name());
     }
 
-    @Override
-    public int priority() {
-        return isRetryOrResume() ? RETRY_PRIORITY : 1 + admitted.priority();
-    }
-
-    @Override
-    boolean passesQueue() {
-        return queue.length() == 0 || isRetryOrResume();
-    }
-
-    /** Tells whether the request was already sent, or the caller itself resumes a stream of which it has a part. */
-    private boolean isRetryOrResume() {
-        return sendHistory.sendCount() > 0 || lastEventId > 0;
-    }
-
     /** Tells whether the caller has a part of the answer, be it from this daemon or from one before. */
     @Override
     boolean isBegun() {
--- a/siskinlead-core/src/test/java/org/siskinlead/core/forwarding/WaitingRequestTest.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/forwarding/WaitingRequestTest.java
@@ -3,8 +3,15 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.siskinlead.core.catalog.Catalog;
+import org.siskinlead.core.catalog.Route;
+import org.siskinlead.core.catalog.RouteKind;
+import org.siskinlead.core.catalog.Team;
+import org.siskinlead.core.catalog.WeightedService;
 import org.siskinlead.core.fakes.FakeTargetLink.ReceivedRequest;
+import org.siskinlead.core.fakes.Fleets;
 import org.siskinlead.core.fakes.ForwardingTestBed;
 import org.siskinlead.core.fakes.RecordedReply;
 import org.siskinlead.core.serving.RequestOutcome;
@@ -123,16 +130,81 @@
         }
     }
 
+    // Guards against callers that wait behind less urgent ones because these were sent in vain before.
+    @Test
+    void doesNotLetARepeatPassAMoreUrgentFirstTry() {
+        bed.forwarder.onCatalog(catalogOfTwoPriorities());
+        bed.send("/later/x");
+        ReceivedRequest turnedAway = bed.link.last();
+        fillEngines("/later/filler");
+        bed.send("/urgent/x");
+        turnedAway.respondNotRun(503);
+        int sent = bed.link.received.size();
+        bed.timers.advance(TICK_MS);
+        lastFiller.onCallerDisconnected();
+        bed.timers.advance(2 * TICK_MS);
+
+        assertThat(bed.link.received.get(sent).dispatch.request().path()).isEqualTo("/urgent/x");
+    }
+
+    // Guards against callers that wait behind later ones of the same urgency.
+    @Test
+    void doesNotLetANewCallPassOneThatWaits() {
+        for (int i = 0; i < 3; i++) {
+            bed.registry.find("p" + i).orElseThrow().avoid(TICK_MS / 2);
+        }
+        bed.send("/unsafe/first");
+        bed.timers.advance(TICK_MS / 2);
+        bed.send("/unsafe/second");
+        bed.timers.advance(TICK_MS);
+
+        assertThat(bed.link.received.stream()
+                        .map(r -> r.dispatch.request().path())
+                        .toList())
+                .containsExactly("/unsafe/first", "/unsafe/second")
+                .inOrder();
+    }
+
+    private static Catalog catalogOfTwoPriorities() {
+        Catalog usual = ForwardingTestBed.catalog(2, Set.of(ForwardingTestBed.KEY));
+        return Catalog.of(
+                2,
+                List.of(stream("urgent", 0), stream("later", 1)),
+                List.copyOf(usual.services()),
+                List.of(new Team("team", Set.of(ForwardingTestBed.KEY), null)),
+                usual.limits());
+    }
+
+    private static Route stream(String name, int priority) {
+        return new Route(
+                name,
+                "host",
+                "/" + name + "/",
+                RouteKind.STREAM,
+                List.of(new WeightedService(Fleets.SERVICE, 1)),
+                20_000,
+                500,
+                200,
+                priority,
+                2,
+                false,
+                true);
+    }
+
     /** Uses all memory of the engines for requests whose answers do not begin; returns the last one sent. */
     private ReceivedRequest fillEngines() {
+        ReceivedRequest last = fillEngines("/stream/filler");
+        bed.timers.advance(CALLER_PATIENCE_MS + TICK_MS);
+        return last;
+    }
+
+    private ReceivedRequest fillEngines(String path) {
         int before = -1;
         while (before != bed.link.received.size()) {
             before = bed.link.received.size();
-            Forwarder.RequestHandle handle =
-                    bed.forwarder.onRequest(bed.request("/stream/filler"), new RecordedReply());
+            Forwarder.RequestHandle handle = bed.forwarder.onRequest(bed.request(path), new RecordedReply());
             lastFiller = bed.link.received.size() > before ? handle : lastFiller;
         }
-        bed.timers.advance(CALLER_PATIENCE_MS + TICK_MS);
         return bed.link.last();
     }
 
