Send no more over the link between data centres than it carries

What callers saw: while engines were replaced, nearly all streams were sent, got no event within 2 s, and their callers left; streams in the middle of an answer found no room and were cut. It went on for 15 s after the shortage of memory had ended.

Cause: each crossing of a path between data centres carries the activations of all tokens of the prompt, 22 ms of the link for a usual one. With the ranges of a data centre incomplete, paths crossed 1 to 8 times, so 45 requests a second asked for 1 to 7 s of transfers a second. Transfers follow each other, so all paths waited behind work whose callers had left. The room that admission counted was memory only.

Ruled out: an engine that is silent or dark (the same engines complete the streams whose paths do not cross); memory (30 to 70 preempted).

Now each daemon sends over crossing paths only while its equal share of the link has carried its earlier transfers. What does not fit waits in the queue, where begun streams go first and others are refused while their callers can go elsewhere.

--- a/siskinlead-core/src/main/java/org/siskinlead/core/catalog/EngineSpec.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/catalog/EngineSpec.java
@@ -18,6 +18,8 @@
  * @param meanAnswerTokens mean length of an answer, in tokens
  * @param stepsPerPass decode steps of a pass, whose tokens are written as one event
  * @param slots number of requests that an engine runs concurrently as first hop of a chain
+ * @param activationBytesPerToken data of one token that passes from hop to hop, in bytes
+ * @param interconnectMbps capacity of the link that all data centres share, in megabits a second; 0 when it is not limited
  * @param kinds accelerator kinds by name
  */
 public record EngineSpec(
@@ -35,9 +37,30 @@
         int meanAnswerTokens,
         int stepsPerPass,
         int slots,
+        double activationBytesPerToken,
+        double interconnectMbps,
         Map<String, AcceleratorKind> kinds) {
     private static final double BYTES_PER_MB = 1_000_000;
 
+    private static final double BITS_PER_BYTE = 8;
+    private static final double MILLIS_PER_SECOND = 1_000;
+
+    /**
+     * Computes for how long tokens occupy the link between data centres at one crossing.
+     * @param tokens number of tokens
+     * @return time in milliseconds, 0 when the link is not limited
+     */
+    public double crossingMillis(double tokens) {
+        return interconnectMbps <= 0
+                ? 0
+                : tokens
+                        * activationBytesPerToken
+                        * BITS_PER_BYTE
+                        / BYTES_PER_MB
+                        / interconnectMbps
+                        * MILLIS_PER_SECOND;
+    }
+
     /**
      * Computes the KV cache memory of one token in one layer.
      * @return memory in megabytes
--- a/siskinlead-core/src/main/java/org/siskinlead/core/chains/HopPath.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/chains/HopPath.java
@@ -31,6 +31,19 @@
         return hops.get(0);
     }
 
+    /**
+     * Counts the hops that are in another data centre than the one before.
+     * @return number of crossings
+     */
+    public int dataCentreCrossings() {
+        int crossings = 0;
+        for (int i = 1; i < hops.size(); i++) {
+            String before = hops.get(i - 1).target().entry().dataCentre();
+            crossings += hops.get(i).target().entry().dataCentre().equals(before) ? 0 : 1;
+        }
+        return crossings;
+    }
+
     /**
      * Checks whether an instance of a target is on the path.
      * @param instanceId identifier of the instance
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/Attempt.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/Attempt.java
@@ -75,6 +75,7 @@
     void start(int number, long lastEventId, int priority) {
         reserveMemory();
         target().beginRequest();
+        context.interconnect().onSent(admitted, choice.path());
         sentAt = context.timers().nowMillis();
         context.timeline()
                 .record(
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/Forwarder.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/Forwarder.java
@@ -125,6 +125,7 @@
                 new ResponseMemory(),
                 streamPace,
                 AnswerTimes.of(timers),
+                InterconnectShare.of(timers, daemonCount),
                 DrainPolicy.of(timers, streamPace),
                 counters,
                 random,
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/ForwardingContext.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/ForwardingContext.java
@@ -22,6 +22,7 @@
         ResponseMemory responseMemory,
         StreamPace streamPace,
         AnswerTimes answerTimes,
+        InterconnectShare interconnect,
         DrainPolicy drain,
         ForwardingCounters counters,
         RandomGenerator random,
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/TargetChooser.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/TargetChooser.java
@@ -78,7 +78,14 @@
             }
         }
         Optional<Choice> best = cheapest(request, usable, check);
-        return check == CapacityCheck.SKIPPED ? best : askForLimit(request, usable, best);
+        return check == CapacityCheck.SKIPPED
+                ? best
+                : askForLimit(request, usable, best).filter(choice -> interconnectHasRoom(request, choice));
+    }
+
+    private boolean interconnectHasRoom(AdmittedRequest request, Choice choice) {
+        HopPath path = choice.path();
+        return path == null || context.interconnect().hasRoom(request, path);
     }
 
     /**
--- a/siskinlead-core/src/test/java/org/siskinlead/core/fakes/Fleets.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/fakes/Fleets.java
@@ -41,6 +41,8 @@
                 167,
                 2,
                 134,
+                42_268,
+                13_000,
                 KINDS.stream().collect(java.util.stream.Collectors.toMap(AcceleratorKind::name, k -> k)));
     }
 
