Tell refused callers to return when room is expected, within the time that they have

What callers saw: a Retry-After of 0.8 to 3 s for streams and 0.2 to 0.8 objectives for calls, whatever the queue; while all targets asked for quiet, a time beyond the caller's own (a call with 600 ms left was told to return after 5,133 ms); from a daemon that stops, half an objective or 500 ms.

Cause: fixed ranges and multiples of the objective. Now the time follows from the rate at which waiting requests are sent, from the time that targets have asked for, or, from a daemon that stops, from the directory: at once while callers know of another daemon, otherwise after the lifetime of a directory answer. It is spread over up to a second, and never longer than the third of the time left up to which PROTOCOL.md lets callers wait. Refusals of blocked prompt parts and before admission keep to that as well.

Test: RetryAfterTest.tellsACallerWithLittleTimeToReturnWithinIt failed before (expected to be in range: [1..200] but was: 5133); the others check the drawing itself.

--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/AbstractForwardedCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/AbstractForwardedCall.java
@@ -168,7 +168,7 @@
         if (isBegun() || sendHistory.mayHaveRun() || chooser.hasPathInService(admitted)) {
             return false;
         }
-        refuse(RefusalCode.OVERLOADED, "no target in service can run this request");
+        refuse(RefusalCode.OVERLOADED, "no target in service can run this request", RetryAfter.UNKNOWN_ROOM_MS);
         return true;
     }
 
@@ -255,8 +255,7 @@
         if (sendHistory.mayHaveRun()) {
             giveUp(reason);
         } else {
-            long jitter = new RetryAfterJitter(context.random()).drawMillis(admitted.route());
-            refuse(RefusalCode.OVERLOADED, reason, heldByOthers ? jitter : unusableMillis + jitter);
+            refuse(RefusalCode.OVERLOADED, reason, heldByOthers ? RetryAfter.UNKNOWN_ROOM_MS : unusableMillis);
         }
         return true;
     }
@@ -301,7 +300,7 @@
         if (sendHistory.sendCount() == 0) {
             end(Ending.NOT_RUN, "blocked", RefusalCode.PROMPT_PART_BLOCKED.status());
             context.counters().incrementRefusals(RefusalCode.PROMPT_PART_BLOCKED);
-            reply.refuse(context.crashWatch().refusal(admitted));
+            reply.refuse(context.crashWatch().refusal(admitted, admitted.remainingMillis(context.timers())));
         } else {
             giveUp(Ending.SUSPECTED, CrashWatch.BLOCKED_DETAIL);
         }
@@ -380,9 +379,9 @@
         }
     }
 
-    /** Refuses a request that no target has executed. */
+    /** Refuses a request that no target has executed, until all that wait now will have been sent. */
     final void refuse(RefusalCode code, String detail) {
-        refuse(code, detail, new RetryAfterJitter(context.random()).drawMillis(admitted.route()));
+        refuse(code, detail, queue.expectedMillis(queue.length() + 1));
     }
 
     /** Refuses a request that no target has run if it cannot end before this daemon stops; returns whether it did. */
@@ -395,13 +394,15 @@
     }
 
     final void refuseAsDraining(String detail) {
-        refuse(RefusalCode.DRAINING, detail, context.drain().retryAfterMillis(admitted.route()));
+        refuse(RefusalCode.DRAINING, detail, context.drain().millisToOther());
     }
 
-    private void refuse(RefusalCode code, String detail, long retryAfterMillis) {
+    private void refuse(RefusalCode code, String detail, long roomInMillis) {
         if (done) {
             return;
         }
+        long retryAfterMillis =
+                new RetryAfter(context.random()).drawMillis(roomInMillis, admitted.remainingMillis(context.timers()));
         end(Ending.NOT_RUN, detail, code.status());
         context.counters().incrementRefusals(code);
         reply.refuse(Refusal.notRun(code, detail, retryAfterMillis));
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/CrashWatch.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/CrashWatch.java
@@ -56,12 +56,13 @@
         return attribution.isAccusedBesides(request.parts(), instanceId);
     }
 
-    /** Creates the refusal of a blocked request, which asks the caller to wait for the next trial. */
-    Refusal refusal(AdmittedRequest request) {
+    /** Creates the refusal of a blocked request, which asks the caller to wait for the next trial as far as it has time. */
+    Refusal refusal(AdmittedRequest request, long callerLeftMillis) {
         return Refusal.notRun(
                 RefusalCode.PROMPT_PART_BLOCKED,
                 BLOCKED_DETAIL,
-                Math.max(MIN_RETRY_AFTER_MS, attribution.millisToTrial(request.traits())));
+                RetryAfter.within(
+                        Math.max(MIN_RETRY_AFTER_MS, attribution.millisToTrial(request.traits())), callerLeftMillis));
     }
 
     // Commands
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/DrainPolicy.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/DrainPolicy.java
@@ -1,7 +1,6 @@
 package org.siskinlead.core.forwarding;
 
 import java.util.function.BooleanSupplier;
-import org.siskinlead.core.catalog.Route;
 import org.siskinlead.core.catalog.RouteKind;
 import org.siskinlead.core.forwarding.DrainEstimate.Basis;
 import org.siskinlead.core.time.Timers;
@@ -20,17 +19,11 @@
      * draining daemon stays at least, so that callers that come late are judged strictly.
      */
     private static final long PACE_TRUSTED_MS = 2_500;
-    /**
-     * {@code Retry-After} while another daemon takes requests, in latency objectives: the answer may still be in time, and
-     * the caller may have heard meanwhile which daemons these are.
-     */
-    private static final double RETRY_ELSEWHERE_OBJECTIVES = 0.5;
-    /** {@code Retry-After} while no other daemon is listed. */
-    private static final long RETRY_ALONE_MS = 500;
 
     private final Timers timers;
     private final StreamPace pace;
     private BooleanSupplier othersServe = () -> false;
+    private long directoryTtlMillis;
     private long begunAt;
     private long endsAt = Long.MAX_VALUE;
 
@@ -86,18 +79,20 @@
         return new DrainEstimate(maxMillis, basis, sinceBeginMillis(), leftMillis());
     }
 
-    /** Gets the time after which a caller that is refused should try again, in milliseconds. */
-    long retryAfterMillis(Route route) {
-        return othersServe.getAsBoolean()
-                ? Math.round(RETRY_ELSEWHERE_OBJECTIVES * route.latencyObjectiveMillis())
-                : RETRY_ALONE_MS;
+    /**
+     * Gets the time until a caller that is refused can expect another daemon: none while callers know of one, otherwise
+     * until they have asked the directory again.
+     */
+    long millisToOther() {
+        return othersServe.getAsBoolean() ? 0 : directoryTtlMillis;
     }
 
     // Commands
 
-    /** Sets the check whether callers that are refused find another daemon. */
-    void setOthersServe(BooleanSupplier check) {
+    /** Sets the check whether callers that are refused find another daemon, and how long they keep directory answers. */
+    void setOthersServe(BooleanSupplier check, long ttlMillis) {
         othersServe = check;
+        directoryTtlMillis = ttlMillis;
     }
 
     /** Drains until the given time, in milliseconds of the monotonic clock. */
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/Forwarder.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/Forwarder.java
@@ -37,7 +37,7 @@
     private static final int SERVICE_UNAVAILABLE = 503;
     /** Longest wait for a fresh proof before a request is refused; allows a few round trips to the store. */
     private static final long PROOF_WAIT_MS = 300;
-    /** {@code Retry-After} of status 503 before admission; later refusals use {@link RetryAfterJitter}. */
+    /** Time until the store has probably confirmed the configuration, for callers refused for want of that. */
     private static final long RETRY_AFTER_MS = 500;
 
     private static final String DRAINING_DETAIL = "this daemon is draining";
@@ -222,9 +222,10 @@
     /**
      * Sets the check whether callers that this daemon refuses while it drains find another one.
      * @param check true while another daemon accepts requests
+     * @param directoryTtlMillis time for which callers may keep an answer of the directory, in milliseconds
      */
-    public void setOthersServe(BooleanSupplier check) {
-        context.drain().setOthersServe(check);
+    public void setOthersServe(BooleanSupplier check, long directoryTtlMillis) {
+        context.drain().setOthersServe(check, directoryTtlMillis);
     }
 
     /**
@@ -352,7 +353,7 @@
             refuse(request, reply, RefusalCode.NO_CHAIN, "service \"" + serviceName + "\" is not configured");
             return;
         }
-        long timeBudgetMillis = request.timeBudgetMillis() > 0 ? request.timeBudgetMillis() : DEFAULT_TIME_BUDGET_MS;
+        long timeBudgetMillis = timeBudgetMillis(request);
         AdmittedRequest admitted = new AdmittedRequest(
                 request,
                 route,
@@ -368,7 +369,8 @@
             DrainEstimate estimate = context.drain().estimate(admitted);
             if (context.drain().isLeftToOthers(admitted) || !estimate.endsInTime()) {
                 recordRefusal(request, RefusalCode.DRAINING, DRAINING_DETAIL);
-                long retryAfterMillis = context.drain().retryAfterMillis(route);
+                long retryAfterMillis = new RetryAfter(context.random())
+                        .drawMillis(context.drain().millisToOther(), admitted.remainingMillis(timers));
                 reply.refuse(Refusal.notRun(RefusalCode.DRAINING, DRAINING_DETAIL, retryAfterMillis));
                 return;
             }
@@ -401,7 +403,7 @@
                 accept(admitted.asTrial(), reply, handle);
                 return;
             }
-            Refusal refusal = context.crashWatch().refusal(admitted);
+            Refusal refusal = context.crashWatch().refusal(admitted, admitted.remainingMillis(timers));
             recordRefusal(admitted.request(), refusal.code(), refusal.detail());
             reply.refuse(refusal);
         });
@@ -432,6 +434,10 @@
         start(admitted, reply, handle);
     }
 
+    private static long timeBudgetMillis(IncomingRequest request) {
+        return request.timeBudgetMillis() > 0 ? request.timeBudgetMillis() : DEFAULT_TIME_BUDGET_MS;
+    }
+
     private static int priority(Route route, @Nullable Team team) {
         Integer teamPriority = team == null ? null : team.priority();
         return teamPriority == null ? route.priority() : teamPriority;
@@ -450,7 +456,8 @@
 
     private void refuse(IncomingRequest request, Reply reply, RefusalCode code, String detail) {
         recordRefusal(request, code, detail);
-        reply.refuse(Refusal.notRun(code, detail, code.status() == SERVICE_UNAVAILABLE ? RETRY_AFTER_MS : 0));
+        long retryAfterMillis = RetryAfter.within(RETRY_AFTER_MS, timeBudgetMillis(request));
+        reply.refuse(Refusal.notRun(code, detail, code.status() == SERVICE_UNAVAILABLE ? retryAfterMillis : 0));
     }
 
     private void recordRefusal(IncomingRequest request, RefusalCode code, String detail) {
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/RetryAfter.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/RetryAfter.java
@@ -9,10 +9,15 @@
 final class RetryAfter {
     /** Part of their remaining time up to which callers honour a {@code Retry-After}. */
     private static final double HONOURED_FRACTION = 1.0 / 3;
-    /** Shortest time, since a value of 0 would not be sent. */
+    /** Shortest time; 0 would mean that a retry does not help. */
     private static final long MIN_MS = 10;
-    /** Spread of callers that return when they ask another daemon or target, whatever waits here. */
-    private static final double SPREAD_FACTOR = 2;
+    /** Longest time over which the returns of callers that are refused together are spread. */
+    private static final long MAX_SPREAD_MS = 1_000;
+    /**
+     * Time to ask again when nothing tells when there will be room: what is known of targets that are down, and of layers
+     * that are loaded, is renewed about once a second.
+     */
+    static final long UNKNOWN_ROOM_MS = 1_000;
 
     private final RandomGenerator random;
 
@@ -31,9 +36,9 @@
         long earliest = Math.max(MIN_MS, roomInMillis);
         if (earliest >= latest) {
             // No room is expected while this caller can wait; it may find some elsewhere.
-            return between(Math.round(latest / SPREAD_FACTOR), latest);
+            return between(Math.max(latest / 2, latest - MAX_SPREAD_MS), latest);
         }
-        return between(earliest, Math.min(latest, Math.round(SPREAD_FACTOR * earliest)));
+        return between(earliest, Math.min(latest, earliest + Math.min(earliest, MAX_SPREAD_MS)));
     }
 
     /** Limits a time to what the caller can still wait. */
--- a/siskinlead-core/src/main/java/org/siskinlead/core/gateway/Gateway.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/gateway/Gateway.java
@@ -133,7 +133,7 @@
                 ports.renewProof());
         this.crashReports = CrashReports.of(self.vm(), ports.store(), timers, ports.random(), roster::size);
         forwarder.setCrashReports(crashReports);
-        forwarder.setOthersServe(this::othersServe);
+        forwarder.setOthersServe(this::othersServe, settings.directoryTtlMillis());
         forwarder.setDownNoticePublisher(roster::publishDown);
         roster.setDownListener((instanceId, fingerprints, discovery) -> {
             if (discovery == Roster.Discovery.CHANGED) {
