End a stream at once that the retry budget does not let resume in time

What callers saw: a stream whose resumption the budget denied was held to the end of its wait, though the budget's window tells when the next retry is free. Cause: the payment was tried at each turn, and nobody asked when it could succeed. Now it is asked before the stream waits. A target that becomes usable at once no longer counts as too late when the time left has just run out (outcome "no target accepts this request for 0 ms").

The part of the budget that is kept for begun streams and calls stays, with its reason: their callers lose more without a retry.

Test: endsAStreamAtOnceThatTheRetryBudgetDoesNotLetResumeInTime failed before (expected to be true: the stream was held).

--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/AbstractForwardedCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/AbstractForwardedCall.java
@@ -96,6 +96,9 @@
     /** Tells whether the caller has a part of the answer, which is lost unless the rest of it follows. */
     abstract boolean isBegun();
 
+    /** Gets the time until the retry budget lets this request be sent, in milliseconds. */
+    abstract long millisToRetryBudget();
+
     /** Sends the request again, after the checks of the retry limits have passed. */
     abstract void retry(String reason);
 
@@ -127,10 +130,12 @@
             return;
         }
         long waitMillis = latestSendAt() - context.timers().nowMillis();
-        if (refuseIfUnusableFor(waitMillis) || refuseIfWithoutPath()) {
+        if (refuseIfUnusableFor(Math.max(0, waitMillis)) || refuseIfWithoutPath()) {
             return;
         }
-        if (!isSendOfUse()) {
+        if (millisToRetryBudget() > waitMillis) {
+            giveUp(lastFailure + "; retry budget exhausted");
+        } else if (!isSendOfUse()) {
             onExpired();
         } else if (!queue.expectsSendInTime(this)) {
             endAsQueueFull();
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/BufferedCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/BufferedCall.java
@@ -224,6 +224,12 @@
         }
     }
 
+    /** A retry of a call is taken from the budget before it waits. */
+    @Override
+    long millisToRetryBudget() {
+        return 0;
+    }
+
     @Override
     RetryBudgetShare.Purpose retryPurpose() {
         return RetryBudgetShare.Purpose.RESUME_OR_BUFFERED;
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/RetryBudgetShare.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/RetryBudgetShare.java
@@ -14,7 +14,10 @@
 public final class RetryBudgetShare {
     /** Usable fraction of the share; the rest covers retries sent while daemons still disagree on their number. */
     private static final double USABLE_FRACTION = 0.92;
-    /** Fraction of the share for streams that have not started; the rest is reserved for the other retries. */
+    /**
+     * Fraction of the share for streams that have not started. The rest is kept for callers that lose more without a retry: a
+     * part of an answer, or the rest of a short time budget; a stream that has not started can be asked for anew.
+     */
     private static final double STREAM_START_FRACTION = 0.6;
 
     /**
@@ -91,16 +94,38 @@
      */
     public boolean tryAcquire(String service, Purpose purpose) {
         Window window = window(service);
-        double allowed = USABLE_FRACTION
-                * (purpose == Purpose.STREAM_START ? STREAM_START_FRACTION : 1)
-                * (budget.ratio() * window.requests.size() + budget.slack() / Math.max(1, daemonCount.getAsInt()));
-        if (window.retries.size() + 1 > allowed) {
+        if (window.retries.size() + 1 > allowed(window, purpose)) {
             return false;
         }
         window.retries.add(timers.nowMillis());
         return true;
     }
 
+    /**
+     * Gets the time until the share has one retry more, while requests arrive as often as now.
+     * @param service name of the service
+     * @param purpose purpose of the retry
+     * @return milliseconds, 0 if it has one now
+     */
+    long millisToAcquire(String service, Purpose purpose) {
+        Window window = window(service);
+        int tooMany = (int) Math.ceil(window.retries.size() + 1 - allowed(window, purpose));
+        if (tooMany <= 0) {
+            return 0;
+        }
+        return window.retries.stream()
+                .skip(tooMany - 1L)
+                .findFirst()
+                .map(at -> at + budget.windowMillis() - timers.nowMillis() + 1)
+                .orElse(budget.windowMillis());
+    }
+
+    private double allowed(Window window, Purpose purpose) {
+        return USABLE_FRACTION
+                * (purpose == Purpose.STREAM_START ? STREAM_START_FRACTION : 1)
+                * (budget.ratio() * window.requests.size() + budget.slack() / Math.max(1, daemonCount.getAsInt()));
+    }
+
     private Window window(String service) {
         Window window = windows.computeIfAbsent(service, s -> new Window());
         window.expire(timers.nowMillis() - budget.windowMillis());
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamResumption.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamResumption.java
@@ -35,6 +35,14 @@
         return chooser.choose(admitted, excluded, sendHistory::allowsResumeAt, CapacityCheck.ENFORCED);
     }
 
+    /** Gets the time until the resumption that is due can be taken from the retry budget, in milliseconds. */
+    long millisToPay() {
+        return cost == RetryBudgetShare.Cost.FREE
+                ? 0
+                : context.retryBudget()
+                        .millisToAcquire(admitted.service().name(), RetryBudgetShare.Purpose.RESUME_OR_BUFFERED);
+    }
+
     // Commands
 
     /** Sets the cost of the resumption that is due. */
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamingCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamingCall.java
@@ -319,6 +319,11 @@
         sendOrWait();
     }
 
+    @Override
+    long millisToRetryBudget() {
+        return resumption.millisToPay();
+    }
+
     @Override
     RetryBudgetShare.Purpose retryPurpose() {
         return started ? RetryBudgetShare.Purpose.RESUME_OR_BUFFERED : RetryBudgetShare.Purpose.STREAM_START;
--- a/siskinlead-core/src/test/java/org/siskinlead/core/forwarding/ResumedStreamTest.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/forwarding/ResumedStreamTest.java
@@ -192,6 +192,26 @@
         assertThat(reply.aborted).isTrue();
     }
 
+    // Guards against callers that wait for a retry which the budget does not give in their time.
+    @Test
+    void endsAStreamAtOnceThatTheRetryBudgetDoesNotLetResumeInTime() {
+        boolean exhausted = false;
+        for (int i = 0; i < 200 && !exhausted; i++) {
+            RecordedReply reply = bed.send("/stream/x" + i);
+            begin(bed.link.last(), 5);
+            int sent = bed.link.received.size();
+            bed.link.last().fail(LinkFailure.BROKEN);
+            exhausted = bed.link.received.size() == sent;
+            if (exhausted) {
+                assertThat(reply.aborted).isTrue();
+            } else {
+                finish(6, 9);
+            }
+        }
+
+        assertThat(exhausted).isTrue();
+    }
+
     /** Lets the later engine of a path leave, which cuts its streams, after another one has taken its place. */
     private void loseLaterEngine(ReceivedRequest sent, String replacement) {
         RegisteredTarget left = sent.dispatch.path().hops().get(1).target().entry();
