Give up a running safe request by its caller's time, not by the objective

What callers saw: a safe request at a target that did not answer was sent elsewhere after 0.4 to 0.8 latency objectives. With a short time budget the second target got less time than the first, or none; where answers usually take longer than that, requests that ran well were given up and run again.

Cause: bounds by the objective, which is no time of the caller. Now an answer counts as unlikely after five times what the target usually takes, and in any case once the targets that may still be tried would get less time than this one.

Tests, both failed before: leavesASecondTargetAsMuchTimeAsTheFirst (expected: 2 but was: 1), givesATargetThatIsUsuallySlowMoreTime (expected: 61 but was: 62).

--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/BufferedCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/BufferedCall.java
@@ -21,10 +21,6 @@
 final class BufferedCall extends AbstractForwardedCall implements ResponseMemory.Holder {
     /** Wait for the response head of a safe request before another target is tried, in average target latencies. */
     private static final double HEAD_TIMEOUT_LATENCIES = 5;
-    /** Bounds of that wait, as multiples of the latency objective. */
-    private static final double MAX_HEAD_TIMEOUT_OBJECTIVES = 0.8;
-
-    private static final double MIN_HEAD_TIMEOUT_OBJECTIVES = 0.4;
     /** Time for which a target that refused a request without running it is avoided. */
     private static final long AVOID_AFTER_REFUSAL_MS = 100;
 
@@ -87,12 +83,11 @@
         return true;
     }
 
+    /** Gets the wait after which an answer is unlikely, at most so long that each further target gets as much time. */
     private long headTimeoutMillis(TargetHealth target) {
-        long objectiveMillis = admitted.route().latencyObjectiveMillis();
-        double latencyBasedMillis = HEAD_TIMEOUT_LATENCIES * target.latencyMillis();
-        return Math.round(Math.max(
-                MIN_HEAD_TIMEOUT_OBJECTIVES * objectiveMillis,
-                Math.min(MAX_HEAD_TIMEOUT_OBJECTIVES * objectiveMillis, latencyBasedMillis)));
+        long leftMillis = Math.max(1, admitted.deadlineAt() - context.timers().nowMillis());
+        int sendsLeft = Math.max(1, admitted.route().maxAttempts() - sendHistory.sendCount() + 1);
+        return Math.round(Math.min(HEAD_TIMEOUT_LATENCIES * target.latencyMillis(), leftMillis / (double) sendsLeft));
     }
 
     // Responses
--- a/siskinlead-core/src/test/java/org/siskinlead/core/forwarding/BufferedCallTest.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/forwarding/BufferedCallTest.java
@@ -166,6 +166,32 @@
         assertThat(reply.answer.status()).isEqualTo(200);
     }
 
+    // Guards against callers whose whole time is spent at a target that does not answer.
+    @Test
+    void leavesASecondTargetAsMuchTimeAsTheFirst() {
+        bed.forwarder.onRequest(bed.request("/safe/x", ForwardingTestBed.KEY, 300), new RecordedReply());
+        bed.timers.advance(160);
+
+        assertThat(bed.link.received).hasSize(2);
+        assertThat(bed.link.last().dispatch.remainingMillis()).isAtLeast(140);
+    }
+
+    // Guards against running requests that are given up although targets of the service usually take as long.
+    @Test
+    void givesATargetThatIsUsuallySlowMoreTime() {
+        for (int i = 0; i < 60; i++) {
+            bed.send("/unsafe/x");
+            bed.timers.advance(120);
+            bed.link.last().respond(200);
+            bed.renewProof();
+        }
+        int sent = bed.link.received.size();
+        bed.send("/safe/x");
+        bed.timers.advance(300);
+
+        assertThat(bed.link.received).hasSize(sent + 1);
+    }
+
     @Test
     void rejectsASuccessWithoutASealAndAnAnswerToAnotherRequest() {
         RecordedReply unsealed = bed.send("/unsafe/x");
