Judge a stream alike at any moment of a planned stop

What callers saw: for the first 2.5 s of a drain a stream was accepted by the pace of recent ones, after that by the longest gap for which it is on time, four times as strict. A caller that came 0.2 s later was refused although its stream would have ended in time.

Cause: a change of judgement shortly before the 3 s after which a cut counts. The estimate has its margin already: the slowest recent pace, half as slow again, and the time for a resumption. Now it holds throughout; the objective only stands in while no pace is known.

Tests: judgesAStreamByTheTimeLeftAtAnyMomentOfTheDrain failed before (expected to be true, at 2.6 s) and asks for both answers at five moments. It replaces acceptsLateOnlyWhatEndsInTimeAsSlowAsItMayBe, which asserted the change at 2.5 s; judgesByTheTimeOfTheSend no longer needs that change and asks for the refusal by the time that is left.

--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/DrainPolicy.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/DrainPolicy.java
@@ -13,13 +13,6 @@
     /** Time given for a drain that has not begun. */
     static final long NOT_DRAINING = -1;
 
-    /**
-     * Time since the begin of a drain after which a pace of recent streams that is faster than the objective is no longer
-     * trusted. Targets may slow down, and what is sent later has less room for that. Shorter than the time for which a
-     * draining daemon stays at least, so that callers that come late are judged strictly.
-     */
-    private static final long PACE_TRUSTED_MS = 2_500;
-
     private final Timers timers;
     private final StreamPace pace;
     private BooleanSupplier othersServe = () -> false;
@@ -67,10 +60,8 @@
         long maxMillis = admitted.route().timeoutMillis();
         Basis basis = Basis.TIMEOUT;
         if (admitted.route().kind() == RouteKind.STREAM) {
-            long paceMillis = pace.isKnown(admitted.service().name()) ? pace.maxDurationMillis(admitted) : 0;
-            long onTimeMillis = StreamPace.onTimeDurationMillis(admitted);
-            boolean byPace = paceMillis > onTimeMillis || (paceMillis > 0 && sinceBeginMillis() < PACE_TRUSTED_MS);
-            long streamMillis = byPace ? paceMillis : onTimeMillis;
+            boolean byPace = pace.isKnown(admitted.service().name());
+            long streamMillis = byPace ? pace.maxDurationMillis(admitted) : StreamPace.onTimeDurationMillis(admitted);
             if (streamMillis < maxMillis) {
                 maxMillis = streamMillis;
                 basis = byPace ? Basis.PACE : Basis.OBJECTIVE;
