Derive the times of a planned stop and of a stuck stream from what callers do

A daemon that stops serves for as long as callers keep its address, three lifetimes of a directory answer (PROTOCOL.md), instead of 3 s; it ends what still runs 0.4 s before the end of its grace, the time to send the last answers and exit, instead of at 0.95 of it. A stream is stuck after half of the pause after which its caller leaves, so that another target has the other half, instead of after five gap objectives.

--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamTiming.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamTiming.java
@@ -17,8 +17,11 @@
     /** Wait for the first event after which a stream is stalled. */
     private static final long FIRST_EVENT_TIMEOUT_MS = 400;
 
-    /** Pause after which a stream is stuck even if every target on its path answers probes, in gap objectives. */
-    private static final double STUCK_GAP_OBJECTIVES = 5;
+    /**
+     * Part of the pause after which callers leave from which on a stream is stuck even if every target on its path answers
+     * probes; the rest is left to another target for its first event.
+     */
+    private static final double STUCK_PATIENCE_FRACTION = 0.5;
     /** Lower bound of that pause for a stream that is slow but makes progress, in average gaps between its events. */
     private static final double STUCK_GAP_FACTOR = 3;
 
@@ -70,14 +73,15 @@
     }
 
     /**
-     * Tells whether a stream that has begun makes no progress any more. Callers leave a stream after eight gap
-     * objectives, so it must be resumed before; one that was always slow is given more time.
-     * @param gapObjectiveMillis objective of the route for the longest gap between events, in milliseconds
+     * Tells whether a stream that has begun makes no progress any more and must be resumed before its caller leaves; one that
+     * was always slow is given more time.
+     * @param callerPatienceMillis pause between events after which the caller leaves, in milliseconds
      */
-    boolean isStuck(long gapObjectiveMillis) {
+    boolean isStuck(long callerPatienceMillis) {
         long pause = timers.nowMillis() - lastProgressAt;
         return !awaitingFirstEvent
-                && pause > Math.max(STUCK_GAP_OBJECTIVES * gapObjectiveMillis, STUCK_GAP_FACTOR * averageGapMillis);
+                && pause
+                        > Math.max(STUCK_PATIENCE_FRACTION * callerPatienceMillis, STUCK_GAP_FACTOR * averageGapMillis);
     }
 
     /** Tells whether events of the current attempt have arrived for longer than a time. */
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamingCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamingCall.java
@@ -403,7 +403,7 @@
         if (current == null
                 || isDone()
                 || lastEventId == 0
-                || !timing.isStuck(admitted.eventGapObjectiveMillis())
+                || !timing.isStuck(admitted.callerPatienceMillis())
                 || !sendHistory.allowsResume()) {
             return;
         }
--- a/siskinlead-core/src/main/java/org/siskinlead/core/gateway/Gateway.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/gateway/Gateway.java
@@ -28,13 +28,10 @@
 
 /** Assembles a daemon that forwards requests by routes, and controls its readiness and graceful shutdown. */
 public final class Gateway {
-    /**
-     * Fraction of the grace period after which running requests are aborted, so that they end before the process is
-     * killed.
-     */
-    private static final double ABORT_AT_GRACE_FRACTION = 0.95;
-    /** Minimum time for which a draining daemon serves callers that still use its address, in milliseconds. */
-    private static final long MIN_DRAIN_MS = 3_000;
+    /** Time before the end of the grace period that is left to send the last answers and end the process. */
+    private static final long EXIT_MS = 400;
+    /** Lifetimes of a directory answer for which some callers keep it, and so use the address of a draining daemon. */
+    private static final int DIRECTORY_TTLS_KEPT = 3;
 
     private static final long DRAIN_POLL_INTERVAL_MS = 50;
     /** Lifetimes of a directory answer after which most callers know of a daemon that was listed; some keep it longer. */
@@ -58,6 +55,7 @@
     private final TargetRateLimits rateLimits;
     private final RateLimitReports rateLimitReports;
     private final long knownToCallersMillis;
+    private final long keptByCallersMillis;
     private Consumer<Catalog> catalogListener = catalog -> {};
     private boolean listening;
     private boolean draining;
@@ -105,6 +103,7 @@
         this.self = self;
         this.timers = ports.timers();
         this.knownToCallersMillis = DIRECTORY_TTLS_UNTIL_KNOWN * settings.directoryTtlMillis();
+        this.keptByCallersMillis = DIRECTORY_TTLS_KEPT * settings.directoryTtlMillis();
         this.timeline = timeline;
         this.freshness = Freshness.of(timers, settings.maxProofAgeMillis());
         this.registry = TargetRegistry.of(timers, timeline);
@@ -421,18 +420,22 @@
         draining = true;
         timeline.record(EventKind.DRAIN_BEGUN, "inFlight", forwarder.inFlight(), "graceMs", graceMillis);
         roster.leave();
-        forwarder.drainUntil(timers.nowMillis() + Math.round(ABORT_AT_GRACE_FRACTION * graceMillis));
+        forwarder.drainUntil(timers.nowMillis() + abortAfterMillis(graceMillis));
         pollDrain(timers.nowMillis(), graceMillis, cutCount(), onDone);
     }
 
+    private static long abortAfterMillis(long graceMillis) {
+        return Math.max(0, graceMillis - EXIT_MS);
+    }
+
     private long cutCount() {
         return forwarder.counters().get(ForwardingCounters.Count.CUT);
     }
 
     private void pollDrain(long startedAtMillis, long graceMillis, long cutBefore, Runnable onDone) {
         long elapsedMillis = timers.nowMillis() - startedAtMillis;
-        boolean idle = forwarder.inFlight() == 0 && elapsedMillis >= MIN_DRAIN_MS;
-        if (!idle && elapsedMillis < ABORT_AT_GRACE_FRACTION * graceMillis) {
+        boolean idle = forwarder.inFlight() == 0 && elapsedMillis >= keptByCallersMillis;
+        if (!idle && elapsedMillis < abortAfterMillis(graceMillis)) {
             timers.after(DRAIN_POLL_INTERVAL_MS, () -> pollDrain(startedAtMillis, graceMillis, cutBefore, onDone));
             return;
         }
--- a/siskinlead-core/src/test/java/org/siskinlead/core/gateway/GatewayTest.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/gateway/GatewayTest.java
@@ -20,6 +20,7 @@
 import org.siskinlead.core.fakes.ManualTimers;
 import org.siskinlead.core.fakes.RecordedReply;
 import org.siskinlead.core.forwarding.RetryBudgetShare;
+import org.siskinlead.core.freshness.EraGuard;
 import org.siskinlead.core.freshness.Freshness;
 import org.siskinlead.core.roster.RosterEntry;
 import org.siskinlead.core.routing.LayerRange;
@@ -54,17 +55,17 @@
     }
 
     private Gateway start(String vm) {
+        return start(vm, new Gateway.Settings(4_000, new RetryBudgetShare.Budget(0.2, 40, 10_000)));
+    }
+
+    private Gateway start(String vm, Gateway.Settings settings) {
         FakeTargetLink link = new FakeTargetLink(timers);
         links.add(link);
         Timeline timeline = Timeline.of(vm, HybridClock.of(timers::wallMillis), event -> {});
         timelines.add(timeline);
         Gateway.Ports ports = new Gateway.Ports(
                 timers, store.client(), link, (target, before, layers, answer) -> {}, () -> {}, new Random(1));
-        Gateway gateway = Gateway.start(
-                new RosterEntry(vm, vm + ":1", "east"),
-                ports,
-                new Gateway.Settings(4_000, new RetryBudgetShare.Budget(0.2, 40, 10_000)),
-                timeline);
+        Gateway gateway = Gateway.start(new RosterEntry(vm, vm + ":1", "east"), ports, settings, timeline);
         store.attach(gateway.roster());
         gateway.onCatalog(ForwardingTestBed.catalog(1, Set.of(ForwardingTestBed.KEY)));
         gateway.onProof(Freshness.ClockReading.now(timers));
@@ -168,6 +169,24 @@
         assertThat(done[0]).isTrue();
     }
 
+    // Guards against callers that still have an address from the directory and find nobody there.
+    @Test
+    void servesForAsLongAsCallersKeepItsAddress() {
+        Gateway.Settings settings = new Gateway.Settings(
+                4_000,
+                new RetryBudgetShare.Budget(0.2, 40, 10_000),
+                new EraGuard.Settings(4_000, EraGuard.Start.LATER),
+                2_000);
+        Gateway leaving = start("vm2", settings);
+        boolean[] done = new boolean[1];
+        leaving.drain(10_000, () -> done[0] = true);
+
+        timers.advance(5_900);
+        assertThat(done[0]).isFalse();
+        timers.advance(200);
+        assertThat(done[0]).isTrue();
+    }
+
     // Guards against streams that a stopping daemon accepts and cuts, although another one could have taken them.
     @Test
     void leavesStreamsToOtherDaemonsWhileItDrains() {
