--- a/siskinlead-core/src/test/java/org/siskinlead/core/fakes/FakeTargetLink.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/fakes/FakeTargetLink.java
@@ -38,6 +38,8 @@
         public boolean cancelled;
         /** Whether the target has begun to answer. */
         public boolean ran;
+        /** Last event that the target has written, for tests that count. */
+        public long written;
         /** Whether the target says in its answer that it is about to stop. */
         public boolean leaving;
         /** Limit that the target names in its answer, in requests a second. */
