Own form: count a completion's deadline from its arrival, and ask for no return after it

What callers saw: a completion that had waited for a slot of its team and of its model got its whole deadline again, so its end came up to 4 s after its caller's; refusals asked for a return after 1 s also with less time left. Cause: the deadline was counted from the start of the run. Now the arrival counts for every wait and for the run.

Test: endsByTheDeadlineCountedFromTheArrivalAlsoAfterAWait failed before (expected any of: [failed, not-run] but was: open).

Open, in docs/WAITING.md: waits for a slot end after 2 s also where more time is left.

--- a/siskinlead-core/src/main/java/org/siskinlead/core/serving/CheckedSink.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/serving/CheckedSink.java
@@ -5,6 +5,7 @@
     private final CompletionSink sink;
     private final CompletionRequest request;
     private final ServingContext context;
+    private final long deadlineAt;
     private int nextPosition;
     private boolean ended;
 
@@ -12,6 +13,12 @@
         this.sink = sink;
         this.request = request;
         this.context = context;
+        this.deadlineAt = context.timers().nowMillis() + request.deadlineMillis();
+    }
+
+    /** Gets the time that the caller has left, counted from the arrival of the request, in milliseconds. */
+    long leftMillis() {
+        return Math.max(0, deadlineAt - context.timers().nowMillis());
     }
 
     @Override
@@ -40,7 +47,7 @@
                             "not-run-is-true",
                             request.id());
             context.counters().refused++;
-            sink.onRefused(refusal);
+            sink.onRefused(refusal.withRetryWithin(leftMillis()));
         }
     }
 
--- a/siskinlead-core/src/main/java/org/siskinlead/core/serving/Completion.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/serving/Completion.java
@@ -39,7 +39,7 @@
     private final int priority;
     private final String fingerprint;
     private final ServingContext context;
-    private final CompletionSink sink;
+    private final CheckedSink sink;
     private final Runnable onEnded;
     private final long deadline;
     private final List<String> delivered = new ArrayList<>();
@@ -62,7 +62,7 @@
             ModelVersion model,
             int priority,
             ServingContext context,
-            CompletionSink sink,
+            CheckedSink sink,
             Runnable onEnded) {
         this.request = request;
         this.model = model;
@@ -71,11 +71,11 @@
         this.sink = sink;
         this.onEnded = onEnded;
         this.fingerprint = Fingerprint.of(request.team(), request.model(), request.prompt());
-        this.deadline = context.timers().nowMillis() + request.deadlineMillis();
+        this.deadline = context.timers().nowMillis() + sink.leftMillis();
     }
 
     void start() {
-        deadlineTimer = context.timers().after(request.deadlineMillis(), this::onDeadline);
+        deadlineTimer = context.timers().after(sink.leftMillis(), this::onDeadline);
         chainRequestedAt = context.timers().nowMillis();
         lastTokenAt = chainRequestedAt;
         acquireChain();
--- a/siskinlead-core/src/main/java/org/siskinlead/core/serving/Refusal.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/serving/Refusal.java
@@ -42,6 +42,15 @@
         return mayHaveRunBefore ? new Refusal(code, RequestOutcome.UNKNOWN, detail, retryAfterMillis) : this;
     }
 
+    /**
+     * Adapts this refusal to the time that the caller has left.
+     * @param leftMillis time left, in milliseconds
+     * @return a refusal that asks for no later return
+     */
+    Refusal withRetryWithin(long leftMillis) {
+        return retryAfterMillis <= leftMillis ? this : new Refusal(code, outcome, detail, leftMillis);
+    }
+
     /**
      * Creates a refusal of a request that may have run once and will not be sent again.
      * @param detail explanation for the caller
--- a/siskinlead-core/src/main/java/org/siskinlead/core/serving/Serving.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/serving/Serving.java
@@ -196,7 +196,7 @@
                     context.guard().retryAfterMillis(fingerprint)));
             return;
         }
-        limits.acquire(request.team(), priority, request.deadlineMillis(), admission -> {
+        limits.acquire(request.team(), priority, sink.leftMillis(), admission -> {
             if (admission != Admission.ADMITTED) {
                 sink.onRefused(limitRefusal(request.team(), admission));
                 return;
@@ -207,7 +207,7 @@
     }
 
     private void acquireModelLimit(CompletionRequest request, ModelVersion model, int priority, CheckedSink sink) {
-        long waitMillis = Math.min(MODEL_LIMIT_WAIT_MS, request.deadlineMillis());
+        long waitMillis = Math.min(MODEL_LIMIT_WAIT_MS, sink.leftMillis());
         context.modelLimits().acquire(model, priority, waitMillis, new WaitQueue.Callback() {
             @Override
             public void granted() {
--- a/siskinlead-core/src/test/java/org/siskinlead/core/serving/CompletionTest.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/serving/CompletionTest.java
@@ -53,6 +53,27 @@
         assertThat(bed.checker.violations()).isEmpty();
     }
 
+    // Guards against callers whose time begins anew when their request has waited for a slot.
+    @Test
+    void endsByTheDeadlineCountedFromTheArrivalAlsoAfterAWait() {
+        TestBed bed = TestBed.start(4, 1, 1, 10_000);
+        String first = bed.checker.sendCompletion(bed.host(0), "first", 20, 30_000);
+        long arrivedAt = bed.time.now();
+        String second = bed.checker.sendCompletion(bed.host(0), "second", 400, 2_500);
+        while (!"complete".equals(bed.checker.outcome(first)) && bed.time.now() < arrivedAt + 2_000) {
+            bed.time.runUntil(bed.time.now() + 10);
+        }
+        long waitedMillis = bed.time.now() - arrivedAt;
+        for (FakeTargets.Engine engine : bed.targets.engines()) {
+            engine.frozen = true;
+        }
+        bed.time.runUntil(arrivedAt + 2_500 + 10);
+
+        assertThat(waitedMillis).isAtLeast(100);
+        assertThat(bed.checker.countWithOutcome("complete")).isEqualTo(1);
+        assertThat(bed.checker.outcome(second)).isAnyOf("failed", "not-run");
+    }
+
     @Test
     void reportsNotRunWhenNoTargetsCoverAllLayers() {
         TestBed bed = TestBed.start(3, 4, 200, 10_000);
