--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/AbstractForwardedCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/AbstractForwardedCall.java
@@ -23,6 +23,7 @@
     /** Time for which a target that another target reported as faulty is avoided. */
     private static final long AVOID_REPORTED_MS = 700;
 
+    /** Priority of requests whose callers have a part of the answer; those of teams and routes follow. */
     private static final int BEGUN_PRIORITY = 0;
 
     /** Status of a target other than the expected one, which has not run the request (RFC 9110, section 15.5.20). */
@@ -384,7 +385,7 @@
         }
     }
 
-    /** Refuses a request that no target has executed, until all that wait now will have been sent. */
+    /** Refuses a request that no target has executed; its caller may return once all that wait now will have been sent. */
     final void refuse(RefusalCode code, String detail) {
         refuse(code, detail, queue.expectedMillis(queue.length() + 1));
     }
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/InterconnectShare.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/InterconnectShare.java
@@ -11,7 +11,8 @@
 /**
  * This daemon's share of the link between data centres, which carries the activations of all tokens of a request once for
  * each crossing of its path. Transfers follow each other there, so what is sent beyond the capacity delays every stream that
- * crosses; it waits here instead, where it can be ordered and refused in time. All daemons get equal shares.
+ * crosses; it waits here instead, where it can be ordered and refused in time. The configuration names the capacity for the
+ * engines of each service; all daemons get equal shares.
  */
 final class InterconnectShare {
     private final Timers timers;
