Pacing: slow start of targets that start or recover

Cause: no code controls how fast a target that starts or recovers gets its share; all daemons see it idle and choose it. Change: package pacing; TargetHealth.admits() and capacityFraction(); TargetChooser leaves out targets beyond their pace unless nothing else can run the request. Rendezvous hashing moves from RateShare to a class of its own.

--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/Attempt.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/Attempt.java
@@ -1,5 +1,6 @@
 package org.siskinlead.core.forwarding;
 
+import java.util.List;
 import org.jspecify.annotations.Nullable;
 import org.siskinlead.core.chains.Hop;
 import org.siskinlead.core.chains.HopPath;
@@ -17,6 +18,7 @@
     private boolean reserving;
     private boolean ended;
     private long sentAt;
+    private boolean answering;
 
     /** Receives the events of an attempt until it ends or is cancelled. */
     interface Owner {
@@ -70,6 +72,14 @@
         return context.timers().nowMillis() - sentAt;
     }
 
+    /** Lists the targets that run the request. */
+    private List<TargetHealth> targets() {
+        HopPath path = choice.path();
+        return path == null
+                ? List.of(target())
+                : path.hops().stream().map(Hop::target).toList();
+    }
+
     // Commands
 
     void start(int number, long lastEventId, int priority) {
@@ -77,6 +87,7 @@
         target().beginRequest();
         context.interconnect().onSent(admitted, choice.path());
         sentAt = context.timers().nowMillis();
+        targets().forEach(t -> t.onSent(this, admitted.route().latencyObjectiveMillis()));
         context.timeline()
                 .record(
                         EventKind.REQUEST_SENT,
@@ -138,6 +149,10 @@
     @Override
     public void onBodyChunk(byte[] part) {
         if (!ended) {
+            if (!answering) {
+                answering = true;
+                targets().forEach(t -> t.onFirstPart(this));
+            }
             owner.onBodyChunk(this, part);
         }
     }
@@ -152,6 +167,9 @@
     @Override
     public void onFailure(LinkFailure failure) {
         if (release()) {
+            if (!failure.mayHaveRun()) {
+                target().onUnreachable();
+            }
             owner.onFailure(this, failure);
         }
     }
@@ -162,6 +180,7 @@
         }
         ended = true;
         target().endRequest();
+        targets().forEach(t -> t.onEnded(this));
         releaseMemory();
         return true;
     }
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/Forwarder.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/Forwarder.java
@@ -131,6 +131,7 @@
                 random,
                 daemonCount);
         Forwarder forwarder = new Forwarder(timers, timeline, freshness, renewProof, context);
+        registry.pacing().setUsualTimes(context.answerTimes()::expectedMillis);
         prober.setDownListener(forwarder.targetLosses::onTargetDown);
         timers.every(STALL_CHECK_INTERVAL_MS, forwarder::checkForStalls);
         return forwarder;
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/TargetChooser.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/TargetChooser.java
@@ -1,6 +1,7 @@
 package org.siskinlead.core.forwarding;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -11,6 +12,7 @@
 import org.siskinlead.core.chains.LoadScale;
 import org.siskinlead.core.chains.PathFinder;
 import org.siskinlead.core.chains.PathFinder.MemoryCheck;
+import org.siskinlead.core.pacing.Pacing;
 import org.siskinlead.core.ratelimit.TargetRateLimits;
 import org.siskinlead.core.registry.TargetHealth;
 import org.siskinlead.core.routing.LayerRange;
@@ -68,21 +70,41 @@
     Optional<Choice> choose(
             AdmittedRequest request, Set<String> excludedInstances, Predicate<String> mayAnswer, CapacityCheck check) {
         List<TargetHealth> usable = new ArrayList<>();
+        List<TargetHealth> leftOut = new ArrayList<>();
         for (TargetHealth target : context.registry().of(request.service().name())) {
             String instanceId = target.entry().instanceId();
             if (target.isUsable()
                     && !excludedInstances.contains(instanceId)
                     && (!canBeFirst(request, target) || mayAnswer.test(instanceId))
                     && (check == CapacityCheck.SKIPPED || limitLeavesRoom(request, target))) {
-                usable.add(target);
+                (target.admits() ? usable : leftOut).add(target);
             }
         }
         Optional<Choice> best = cheapest(request, usable, check);
+        if (!leftOut.isEmpty()) {
+            context.registry().pacing().increment(Pacing.Count.LEFT_OUT);
+            best = best.or(() -> cheapestDespitePace(request, usable, leftOut, check));
+        }
         return check == CapacityCheck.SKIPPED
                 ? best
                 : askForLimit(request, usable, best).filter(choice -> interconnectHasRoom(request, choice));
     }
 
+    /** Chooses among paced targets too, first without those that have been given the smallest part of their capacity. */
+    private Optional<Choice> cheapestDespitePace(
+            AdmittedRequest request, List<TargetHealth> usable, List<TargetHealth> leftOut, CapacityCheck check) {
+        leftOut.sort(Comparator.comparingDouble(TargetHealth::capacityFraction).reversed());
+        List<TargetHealth> furthest = new ArrayList<>(usable);
+        furthest.addAll(leftOut.subList(0, (leftOut.size() + 1) / 2));
+        List<TargetHealth> all = new ArrayList<>(usable);
+        all.addAll(leftOut);
+        Optional<Choice> best = cheapest(request, furthest, check).or(() -> cheapest(request, all, check));
+        if (best.isPresent()) {
+            context.registry().pacing().increment(Pacing.Count.OVERRIDDEN);
+        }
+        return best;
+    }
+
     private boolean interconnectHasRoom(AdmittedRequest request, Choice choice) {
         HopPath path = choice.path();
         return path == null || context.interconnect().hasRoom(request, path);
--- a/siskinlead-core/src/main/java/org/siskinlead/core/gateway/Gateway.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/gateway/Gateway.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import java.util.stream.IntStream;
 import org.siskinlead.core.catalog.Catalog;
@@ -14,6 +15,7 @@
 import org.siskinlead.core.forwarding.TargetLink;
 import org.siskinlead.core.freshness.EraGuard;
 import org.siskinlead.core.freshness.Freshness;
+import org.siskinlead.core.pacing.Pacing;
 import org.siskinlead.core.placement.LayerOrderSender;
 import org.siskinlead.core.placement.LayerPlacementController;
 import org.siskinlead.core.platform.LeaseStore;
@@ -108,8 +110,10 @@
         this.freshness = Freshness.of(timers, settings.maxProofAgeMillis());
         this.registry = TargetRegistry.of(timers, timeline);
         this.roster = Roster.start(self, ports.store(), timers, timeline);
-        this.rateLimits = TargetRateLimits.of(
-                self.vm(), () -> roster.entries().stream().map(RosterEntry::vm).toList(), timers, timeline);
+        Supplier<Collection<String>> servingVms =
+                () -> roster.entries().stream().map(RosterEntry::vm).toList();
+        this.rateLimits = TargetRateLimits.of(self.vm(), servingVms, timers, timeline);
+        registry.setPacing(Pacing.of(self.vm(), servingVms, timers, timeline));
         this.rateLimitReports = RateLimitReports.of(
                 rateLimits, ports.store(), timers, ports.random(), roster::size, registry::isRegistered);
         this.forwarder = Forwarder.of(
--- /dev/null
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/pacing/Pacing.java
@@ -0,0 +1,191 @@
+package org.siskinlead.core.pacing;
+
+import java.util.Collection;
+import java.util.Collections;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.WeakHashMap;
+import java.util.function.DoubleSupplier;
+import java.util.function.Supplier;
+import java.util.function.ToLongFunction;
+import org.siskinlead.core.ratelimit.Rendezvous;
+import org.siskinlead.core.time.Timers;
+import org.siskinlead.core.timeline.EventKind;
+import org.siskinlead.core.timeline.Timeline;
+
+/** Starts the paces of targets at this daemon and counts them. Not thread-safe: used on the decision thread only. */
+public final class Pacing {
+    /** Number of daemons up to which each sees enough of a target's load by itself, and targets are not paced. */
+    private static final int MAX_UNPACED_DAEMONS = 8;
+    /** Answer time assumed for a service until answers have been observed. */
+    private static final long DEFAULT_USUAL_MS = 250;
+    /** Time for which the names of the serving daemons are kept, because the list is copied for each reading. */
+    private static final long DAEMONS_VALID_MS = 200;
+    /** Maximum number of begun paces that are recorded in {@link #RECORDING_WINDOW_MS}, as when all targets restart. */
+    private static final int MAX_RECORDED = 50;
+
+    private static final long RECORDING_WINDOW_MS = 10_000;
+
+    private final String vm;
+    private final Supplier<Collection<String>> servingVms;
+    private final Timers timers;
+    private final Timeline timeline;
+    private final Map<Count, Long> counts = new EnumMap<>(Count.class);
+    private final Set<SlowStart> running = Collections.newSetFromMap(new WeakHashMap<>());
+    private ToLongFunction<String> usualMillis = service -> 0;
+    private Collection<String> vms = List.of();
+    private long vmsReadAt = Long.MIN_VALUE / 2;
+    private long windowStartedAt = Long.MIN_VALUE / 2;
+    private int recordedInWindow;
+
+    /** Counted events; the metric is {@code pacing.} and the name in lower case. */
+    public enum Count {
+        BEGUN,
+        ENDED,
+        /** Times that a target refused or failed a request while it was paced. */
+        HALVED,
+        /** Times that a pace was held because an answer was late. */
+        HELD,
+        /** Requests for which a paced target was left out of the choice. */
+        LEFT_OUT,
+        /** Requests for which targets had to be chosen that their paces left out, since no others could be used. */
+        OVERRIDDEN
+    }
+
+    private Pacing(String vm, Supplier<Collection<String>> servingVms, Timers timers, Timeline timeline) {
+        this.vm = vm;
+        this.servingVms = servingVms;
+        this.timers = timers;
+        this.timeline = timeline;
+    }
+
+    /**
+     * Creates the pacing of a daemon.
+     * @param vm name of the daemon's VM
+     * @param servingVms supplies the names of the VMs of all serving daemons
+     * @param timers clock
+     * @param timeline receives the events of paces
+     * @return pacing without a paced target
+     */
+    public static Pacing of(String vm, Supplier<Collection<String>> servingVms, Timers timers, Timeline timeline) {
+        return new Pacing(vm, servingVms, timers, timeline);
+    }
+
+    // Queries
+
+    /**
+     * Checks whether targets are paced.
+     * @return false while the fleet has at most 8 daemons
+     */
+    public boolean isActive() {
+        return daemonCount() > MAX_UNPACED_DAEMONS;
+    }
+
+    /**
+     * Lists the counts and the number of targets that are paced now.
+     * @return values by metric name, {@code pacing.*}
+     */
+    public Map<String, Long> values() {
+        Map<String, Long> values = new TreeMap<>();
+        counts.forEach((count, value) -> values.put("pacing." + count.name().toLowerCase(Locale.ROOT), value));
+        values.put(
+                "pacing.paced_targets",
+                running.stream().filter(SlowStart::isRunning).count());
+        return values;
+    }
+
+    /**
+     * Gets a count.
+     * @param what the count
+     * @return its value since the start
+     */
+    public long get(Count what) {
+        return counts.getOrDefault(what, 0L);
+    }
+
+    int daemonCount() {
+        Collection<String> known = vms();
+        return known.size() + (known.contains(vm) ? 0 : 1);
+    }
+
+    /** Counts the daemons that use a target before this one. */
+    int rank(String instanceId) {
+        return Rendezvous.rank(vm, vms(), instanceId);
+    }
+
+    long usualMillis(String service) {
+        long known = usualMillis.applyAsLong(service);
+        return known > 0 ? known : DEFAULT_USUAL_MS;
+    }
+
+    private Collection<String> vms() {
+        if (timers.nowMillis() - vmsReadAt >= DAEMONS_VALID_MS) {
+            vms = Set.copyOf(servingVms.get());
+            vmsReadAt = timers.nowMillis();
+        }
+        return vms;
+    }
+
+    // Commands
+
+    /**
+     * Sets the source of usual answer times.
+     * @param source gets the time within which most requests of a service are answered, in milliseconds; 0 if unknown
+     */
+    public void setUsualTimes(ToLongFunction<String> source) {
+        usualMillis = source;
+    }
+
+    /**
+     * Begins the pace of a target.
+     * @param instanceId the target's instance
+     * @param service its service
+     * @param slots number of requests that it runs concurrently
+     * @param sinceMillis monotonic time from which it can be used, not in the future
+     * @param slowdown supplies the duration of its work relative to the normal duration, at least 1
+     * @param reason why it is paced, for the event
+     * @return the pace, {@link Pace#UNLIMITED} when targets are not paced
+     */
+    public Pace begin(
+            String instanceId, String service, int slots, long sinceMillis, DoubleSupplier slowdown, String reason) {
+        if (!isActive()) {
+            return Pace.UNLIMITED;
+        }
+        increment(Count.BEGUN);
+        boolean recorded = mayRecord();
+        if (recorded) {
+            timeline.record(EventKind.TARGET_PACE_BEGUN, "target", instanceId, "reason", reason);
+        }
+        SlowStart begun = new SlowStart(this, timers, instanceId, service, slots, sinceMillis, slowdown, recorded);
+        running.add(begun);
+        return begun;
+    }
+
+    /**
+     * Increments a count by one.
+     * @param what the count
+     */
+    public void increment(Count what) {
+        counts.merge(what, 1L, Long::sum);
+    }
+
+    void onEnded(SlowStart ended, String instanceId, long tookMillis, boolean recorded) {
+        running.remove(ended);
+        increment(Count.ENDED);
+        if (recorded) {
+            timeline.record(EventKind.TARGET_PACE_ENDED, "target", instanceId, "tookMs", tookMillis);
+        }
+    }
+
+    private boolean mayRecord() {
+        if (timers.nowMillis() - windowStartedAt >= RECORDING_WINDOW_MS) {
+            windowStartedAt = timers.nowMillis();
+            recordedInWindow = 0;
+        }
+        return ++recordedInWindow <= MAX_RECORDED;
+    }
+}
--- /dev/null
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/pacing/SlowStart.java
@@ -0,0 +1,162 @@
+package org.siskinlead.core.pacing;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.DoubleSupplier;
+import org.siskinlead.core.time.Timers;
+
+/**
+ * Pace of one target at one daemon. Every daemon computes the number of requests that the whole fleet may have on the
+ * target. Daemons take one request each in the order of their ranks, then another one each, so that their limits add up to
+ * this number as long as they agree on it. Daemons that get no answers of the target follow the same schedule in time.
+ */
+final class SlowStart implements Pace {
+    /** Number of requests of the whole fleet with which a target starts. */
+    private static final int INITIAL_REQUESTS = 4;
+    /** Largest part of a target's slots with which it starts, for targets with few slots. */
+    private static final double MAX_INITIAL_SLOT_FRACTION = 0.25;
+
+    private final Pacing pacing;
+    private final Timers timers;
+    private final String instanceId;
+    private final String service;
+    private final int slots;
+    private final long begunAt;
+    private final DoubleSupplier slowdown;
+    private final boolean recorded;
+    private final Map<Object, Send> unanswered = new HashMap<>();
+    private double number;
+    private long updatedAt;
+    private long heldUntil;
+    private long halvedAt = Long.MIN_VALUE / 2;
+    private long limitedAt = Long.MIN_VALUE / 2;
+    private boolean ended;
+
+    /** A request that waits for the first part of its answer, which is late after a time. */
+    private record Send(long sentAt, long lateAt) {}
+
+    SlowStart(
+            Pacing pacing,
+            Timers timers,
+            String instanceId,
+            String service,
+            int slots,
+            long begunAt,
+            DoubleSupplier slowdown,
+            boolean recorded) {
+        this.pacing = pacing;
+        this.timers = timers;
+        this.instanceId = instanceId;
+        this.service = service;
+        this.slots = Math.max(1, slots);
+        this.begunAt = begunAt;
+        this.slowdown = slowdown;
+        this.recorded = recorded;
+        this.number = Math.max(1, Math.min(INITIAL_REQUESTS, Math.floor(MAX_INITIAL_SLOT_FRACTION * slots)));
+        this.updatedAt = begunAt;
+        this.heldUntil = begunAt;
+    }
+
+    boolean isRunning() {
+        update();
+        return !ended;
+    }
+
+    @Override
+    public boolean admits(int inFlight) {
+        update();
+        if (ended || !pacing.isActive() || inFlight < limit()) {
+            return true;
+        }
+        limitedAt = timers.nowMillis();
+        return false;
+    }
+
+    /** Gets this daemon's part of the requests that the whole fleet may have on the target. */
+    private int limit() {
+        int requests = (int) Math.min(Integer.MAX_VALUE, number);
+        int daemons = pacing.daemonCount();
+        return requests / daemons + (pacing.rank(instanceId) < requests % daemons ? 1 : 0);
+    }
+
+    @Override
+    public double capacityFraction() {
+        update();
+        return ended ? 1 : Math.min(1, number / slots);
+    }
+
+    @Override
+    public void onSent(Object exchange, long objectiveMillis) {
+        update();
+        if (!ended) {
+            long now = timers.nowMillis();
+            unanswered.put(exchange, new Send(now, now + Math.max(pacing.usualMillis(service), objectiveMillis)));
+        }
+    }
+
+    @Override
+    public void onAnswered(Object exchange) {
+        update();
+        Send send = unanswered.remove(exchange);
+        long now = timers.nowMillis();
+        if (send != null && now > send.lateAt()) {
+            // The next answer to tell whether the target has become faster may take as long.
+            heldUntil = Math.max(heldUntil, now + now - send.sentAt());
+            pacing.increment(Pacing.Count.HELD);
+        }
+    }
+
+    @Override
+    public void onEnded(Object exchange) {
+        Send send = unanswered.get(exchange);
+        if (send != null && timers.nowMillis() > send.lateAt()) {
+            onAnswered(exchange);
+        } else {
+            unanswered.remove(exchange);
+        }
+    }
+
+    /** Halves the number, once for each usual answer time, since requests sent together fail together. */
+    @Override
+    public void onRefused() {
+        update();
+        long now = timers.nowMillis();
+        long usual = pacing.usualMillis(service);
+        if (ended || now - halvedAt < usual) {
+            return;
+        }
+        halvedAt = now;
+        number = Math.max(1, number / 2);
+        heldUntil = Math.max(heldUntil, now + usual);
+        pacing.increment(Pacing.Count.HALVED);
+    }
+
+    /** Lets the number grow for the time since the last update in which it was not held and no answer was late. */
+    private void update() {
+        long now = timers.nowMillis();
+        if (ended || now <= updatedAt) {
+            return;
+        }
+        long usual = pacing.usualMillis(service);
+        long from = Math.max(updatedAt, heldUntil);
+        long until = now;
+        for (Send send : unanswered.values()) {
+            until = Math.min(until, send.lateAt());
+        }
+        if (until > from) {
+            number = Math.min(maxNumber(), number * Math.pow(2, (until - from) / (usual * slowdown.getAsDouble())));
+        }
+        updatedAt = now;
+        boolean isLimiting = now - limitedAt < usual && number < maxNumber();
+        if (number >= Math.max(slots, pacing.daemonCount()) && !isLimiting) {
+            ended = true;
+            unanswered.clear();
+            pacing.onEnded(this, instanceId, now - begunAt, recorded);
+        }
+    }
+
+    /** Gets the number with which each daemon alone could use all slots of the target. */
+    private double maxNumber() {
+        return (double) slots * pacing.daemonCount();
+    }
+}
--- a/siskinlead-core/src/main/java/org/siskinlead/core/ratelimit/RateShare.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/ratelimit/RateShare.java
@@ -5,7 +5,7 @@
 
 /**
  * A daemon's share of the limit of a target. Few daemons hold a target's whole limit in equal shares, chosen for each
- * target by rendezvous hashing (Thaler and Ravishankar, 1998), so that all daemons agree on the holders without a
+ * target by {@link Rendezvous} hashing, so that all daemons agree on the holders without a
  * message, few shares move when a daemon comes or goes, and the bursts of all holders stay small beside the limit.
  * @param perSecond requests a second
  * @param burst requests that the holder may send at once, at least 1
@@ -19,12 +19,6 @@
     /** Least rate at which all daemons together ask a target whether it still has its limit, in requests a second. */
     private static final double MIN_PER_SECOND = 0.25;
 
-    /** Constants of the finalizer of MurmurHash3, which distributes similar names over all integers. */
-    private static final long MIX_1 = 0xff51afd7ed558ccdL;
-
-    private static final long MIX_2 = 0xc4ceb9fe1a85ec53L;
-    private static final int MIX_SHIFT = 33;
-
     /**
      * Computes the share of a daemon.
      * @param vm name of the daemon's VM
@@ -36,7 +30,7 @@
     static Optional<RateShare> of(String vm, Collection<String> vms, String instanceId, double limit) {
         double shared = Math.max(MIN_PER_SECOND, limit);
         int holders = (int) Math.min(vms.size(), MIN_HOLDERS + Math.floor(HOLDERS_PER_REQUEST_PER_SECOND * shared));
-        int rank = rank(vm, vms, instanceId);
+        int rank = Rendezvous.rank(vm, vms, instanceId);
         if (rank >= holders) {
             return Optional.empty();
         }
@@ -44,24 +38,4 @@
         double burst = Math.max(1, perSecond);
         return Optional.of(new RateShare(perSecond, burst, burst * rank / holders));
     }
-
-    /** Counts the daemons that come before a daemon in the order in which they hold the limit of a target. */
-    static int rank(String vm, Collection<String> vms, String instanceId) {
-        long own = weight(vm, instanceId);
-        int rank = 0;
-        for (String other : vms) {
-            long weight = weight(other, instanceId);
-            if (weight > own || (weight == own && other.compareTo(vm) < 0)) {
-                rank++;
-            }
-        }
-        return rank;
-    }
-
-    private static long weight(String vm, String instanceId) {
-        long hash = ((long) vm.hashCode() << Integer.SIZE) ^ instanceId.hashCode();
-        hash = (hash ^ (hash >>> MIX_SHIFT)) * MIX_1;
-        hash = (hash ^ (hash >>> MIX_SHIFT)) * MIX_2;
-        return hash ^ (hash >>> MIX_SHIFT);
-    }
 }
--- a/siskinlead-core/src/main/java/org/siskinlead/core/ratelimit/TargetRateLimits.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/ratelimit/TargetRateLimits.java
@@ -145,7 +145,7 @@
 
     /** Gets the place of this daemon in the order in which daemons hold the limit of a target, from 0. */
     int rank(String instanceId) {
-        return RateShare.rank(vm, vms(), instanceId);
+        return Rendezvous.rank(vm, vms(), instanceId);
     }
 
     // Commands
--- a/siskinlead-core/src/main/java/org/siskinlead/core/registry/TargetHealth.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/registry/TargetHealth.java
@@ -1,5 +1,9 @@
 package org.siskinlead.core.registry;
 
+import java.util.Objects;
+import org.siskinlead.core.pacing.Pace;
+import org.siskinlead.core.pacing.Pacing;
+import org.siskinlead.core.routing.LayerRange;
 import org.siskinlead.core.time.Timers;
 
 /** One instance of a target: its registry entry, the requests of this daemon on it, and its observed health. */
@@ -16,8 +20,16 @@
     private static final double INITIAL_LATENCY_MS = 50;
 
     private final Timers timers;
+    private final Pacing pacing;
     private RegisteredTarget entry;
+    private Pace pace = Pace.UNLIMITED;
+    /** Whether the target was found down or unreachable, so that it is paced once it may be used again. */
+    private boolean recovering;
+
     private int inFlight;
+    /** Requests of this daemon on the target as any hop of their paths. */
+    private int hopsInFlight;
+
     private double reservedTokenLayers;
     private double failureRate;
     private double latencyMillis = INITIAL_LATENCY_MS;
@@ -32,8 +44,9 @@
     private boolean leaving;
     private boolean removed;
 
-    TargetHealth(RegisteredTarget entry, Timers timers) {
+    TargetHealth(RegisteredTarget entry, Timers timers, Pacing pacing) {
         this.timers = timers;
+        this.pacing = pacing;
         this.entry = entry;
         this.leaving = entry.leaving();
     }
@@ -179,8 +192,78 @@
         return timers.nowMillis() - slowdownReportedAt < SLOWDOWN_VALID_MS ? Math.max(1, slowdown) : 1;
     }
 
+    /**
+     * Checks whether the pace of a target that has started or recovered lets it get another request of this daemon.
+     * @return true if it is not paced, or has fewer requests than the pace allows
+     */
+    public boolean admits() {
+        beginPaceIfRecovered();
+        return pace.admits(hopsInFlight);
+    }
+
+    /**
+     * Gets the part of its capacity that a target that has started or recovered may be given by all daemons together.
+     * @return a fraction above 0 and at most 1; 1 when it is not paced
+     */
+    public double capacityFraction() {
+        beginPaceIfRecovered();
+        return pace.capacityFraction();
+    }
+
     // Commands
 
+    /** Limits this target to few requests at first, because it has started or changed. */
+    void beginPace(String reason) {
+        recovering = false;
+        beginPace(timers.nowMillis(), reason);
+    }
+
+    private void beginPace(long sinceMillis, String reason) {
+        pace = pacing.begin(entry.instanceId(), entry.service(), entry.slots(), sinceMillis, this::slowdown, reason);
+    }
+
+    private void beginPaceIfRecovered() {
+        long now = timers.nowMillis();
+        long usableSince = Math.max(downUntil, avoidUntil);
+        if (recovering && usableSince <= now) {
+            recovering = false;
+            beginPace(usableSince, "recovered");
+        }
+    }
+
+    /**
+     * Records that a request was sent on a path through this target, as any hop.
+     * @param exchange identifies the send in later calls
+     * @param objectiveMillis the caller's objective for the time to the first part of the answer, in milliseconds
+     */
+    public void onSent(Object exchange, long objectiveMillis) {
+        hopsInFlight++;
+        pace.onSent(exchange, objectiveMillis);
+    }
+
+    /**
+     * Records the first part of the answer to a request that was sent on a path through this target.
+     * @param exchange the send
+     */
+    public void onFirstPart(Object exchange) {
+        pace.onAnswered(exchange);
+    }
+
+    /**
+     * Records the end of a request that was sent on a path through this target.
+     * @param exchange the send
+     */
+    public void onEnded(Object exchange) {
+        hopsInFlight--;
+        pace.onEnded(exchange);
+    }
+
+    /** Records that this target accepted no connection; it is paced once it is no longer avoided. */
+    public void onUnreachable() {
+        pace.onRefused();
+        recovering = true;
+    }
+
     /**
      * Records a slowdown that the target reported.
      * @param reported duration of its work relative to the normal duration
@@ -197,11 +280,15 @@
 
     /** Clears the down state, after a false detection or a recovery. */
     public void clearDown() {
-        downUntil = Long.MIN_VALUE / 2;
+        endDown();
+    }
+
+    private void endDown() {
+        downUntil = Math.min(downUntil, timers.nowMillis());
     }
 
     void update(RegisteredTarget newer) {
-        entry = newer;
+        updateLayers(newer);
         leaving |= newer.leaving();
         removed = false;
     }
@@ -222,7 +309,11 @@
      * @param newer entry with the layers that the target holds
      */
     public void updateLayers(RegisteredTarget newer) {
+        LayerRange before = entry.layers();
         entry = newer;
+        if (newer.layers() != null && !Objects.equals(before, newer.layers())) {
+            beginPace("holds new layers");
+        }
     }
 
     /** Counts a request as in flight. */
@@ -250,12 +341,13 @@
     public void onAnswer(double millis) {
         latencyMillis += MOVING_AVERAGE_WEIGHT * (millis - latencyMillis);
         failureRate -= MOVING_AVERAGE_WEIGHT * failureRate;
-        downUntil = Long.MIN_VALUE / 2;
+        endDown();
     }
 
     /** Records a request that the target failed. */
     public void onFailure() {
         failureRate += MOVING_AVERAGE_WEIGHT * (1 - failureRate);
+        pace.onRefused();
     }
 
     /**
@@ -273,6 +365,7 @@
      */
     public void avoid(long millis) {
         avoidUntil = Math.max(avoidUntil, timers.nowMillis() + millis);
+        pace.onRefused();
     }
 
     /**
@@ -289,5 +382,6 @@
      */
     public void markDown(long millis) {
         downUntil = Math.max(downUntil, timers.nowMillis() + millis);
+        recovering = true;
     }
 }
--- a/siskinlead-core/src/main/java/org/siskinlead/core/registry/TargetRegistry.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/registry/TargetRegistry.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.siskinlead.core.pacing.Pacing;
 import org.siskinlead.core.time.Timers;
 import org.siskinlead.core.timeline.EventKind;
 import org.siskinlead.core.timeline.Timeline;
@@ -23,6 +24,12 @@
     /** Time after a store outage for running targets to renew lapsed entries; the platform specifies 2 s. */
     public static final long LAPSE_GRACE_MS = 2_300;
 
+    /**
+     * Time from the first registration for which a daemon is still reading the list of targets, some of which register
+     * again after an outage that ended meanwhile.
+     */
+    private static final long LISTING_MS = LAPSE_GRACE_MS;
+
     private static final int MAX_LEAVING_INSTANCES = 5_000;
 
     private final Timers timers;
@@ -42,10 +49,13 @@
     private final List<Runnable> listeners = new ArrayList<>();
     private long storeRegainedAtMillis = Long.MIN_VALUE / 2;
     private boolean storeLost;
+    private long firstRegisteredAt = Long.MAX_VALUE;
+    private Pacing pacing;
 
     private TargetRegistry(Timers timers, Timeline timeline) {
         this.timers = timers;
         this.timeline = timeline;
+        this.pacing = Pacing.of("", List::of, timers, timeline);
     }
 
     /**
@@ -104,8 +114,24 @@
         return byId.values().stream().anyMatch(t -> t.entry().instanceId().equals(instanceId));
     }
 
+    /**
+     * Gets the slow start of targets that start or recover.
+     * @return the pacing, without effect until {@link #setPacing} is called
+     */
+    public Pacing pacing() {
+        return pacing;
+    }
+
     // Commands
 
+    /**
+     * Sets the slow start of targets, before any target is registered.
+     * @param newPacing the pacing
+     */
+    public void setPacing(Pacing newPacing) {
+        pacing = newPacing;
+    }
+
     /**
      * Adds a listener for targets that appear, change or leave.
      * @param listener called after each change
@@ -119,6 +145,7 @@
      * @param entry entry as read from the store
      */
     public void register(RegisteredTarget entry) {
+        firstRegisteredAt = Math.min(firstRegisteredAt, timers.nowMillis());
         lapsed.remove(entry.id());
         if (entry.leaving()) {
             leavingInstances.add(entry.instanceId());
@@ -134,11 +161,15 @@
             if (known != null && entry.startedAtMillis() > known.entry().startedAtMillis()) {
                 known.markEnded();
             }
-            TargetHealth joined = new TargetHealth(entry, timers);
+            TargetHealth joined = new TargetHealth(entry, timers, pacing);
             if (leavingInstances.contains(entry.instanceId())) {
                 joined.markLeaving();
             }
             byId.put(entry.id(), joined);
+            boolean isRestart = known != null && known.hasEnded();
+            if (isRestart || timers.nowMillis() - firstRegisteredAt > LISTING_MS) {
+                joined.beginPace(isRestart ? "restarted" : "registered");
+            }
             timeline.record(
                     EventKind.TARGET_JOINED,
                     "target",
--- a/siskinlead-core/src/main/java/org/siskinlead/core/timeline/EventKind.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/timeline/EventKind.java
@@ -19,6 +19,10 @@
     /** A target named a limit on the rate of its requests, changed it or named it no more. */
     TARGET_RATE_LIMIT,
     TARGET_SLOW,
+    /** A target that started or recovered gets few requests at first. */
+    TARGET_PACE_BEGUN,
+    /** The pace of a target limits this daemon no more. */
+    TARGET_PACE_ENDED,
     /** An engine holds the layers that it was ordered to load. */
     TARGET_PLACED,
     TARGET_LEFT,
