--- a/siskinlead-core/src/main/java/org/siskinlead/core/pacing/Pace.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/pacing/Pace.java
@@ -14,6 +14,14 @@
         return true;
     }
 
+    /**
+     * Checks whether the target is still paced.
+     * @return false once the limit has ended
+     */
+    default boolean isLimiting() {
+        return false;
+    }
+
     /**
      * Gets the part of its capacity that the target may be given by all daemons together.
      * @return a fraction above 0 and at most 1
--- a/siskinlead-core/src/main/java/org/siskinlead/core/pacing/Pacing.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/pacing/Pacing.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.Collections;
 import java.util.EnumMap;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -28,6 +29,9 @@
     /** Maximum number of begun paces that are recorded in {@link #RECORDING_WINDOW_MS}, as when all targets restart. */
     private static final int MAX_RECORDED = 50;
 
+    /** Weight of the newest answer of a service in its mean answer time. */
+    private static final double MEAN_WEIGHT = 0.05;
+
     private static final long RECORDING_WINDOW_MS = 10_000;
 
     private final String vm;
@@ -36,6 +40,11 @@
     private final Timeline timeline;
     private final Map<Count, Long> counts = new EnumMap<>(Count.class);
     private final Set<SlowStart> running = Collections.newSetFromMap(new WeakHashMap<>());
+    /** Mean answer times of the targets of each service that are not paced, in milliseconds. */
+    private final Map<String, Double> means = new HashMap<>();
+    /** Shortest objective of the callers of each service, in milliseconds. */
+    private final Map<String, Long> objectives = new HashMap<>();
+
     private ToLongFunction<String> usualMillis = service -> 0;
     private Collection<String> vms = List.of();
     private long vmsReadAt = Long.MIN_VALUE / 2;
@@ -94,7 +103,7 @@
         counts.forEach((count, value) -> values.put("pacing." + count.name().toLowerCase(Locale.ROOT), value));
         values.put(
                 "pacing.paced_targets",
-                running.stream().filter(SlowStart::isRunning).count());
+                running.stream().filter(SlowStart::isLimiting).count());
         return values;
     }
 
@@ -117,11 +126,26 @@
         return Rendezvous.rank(vm, vms(), instanceId);
     }
 
+    /** Gets the time within which most requests of a service are answered, a default until answers have been observed. */
     long usualMillis(String service) {
         long known = usualMillis.applyAsLong(service);
         return known > 0 ? known : DEFAULT_USUAL_MS;
     }
 
+    /**
+     * Gets the mean time to an answer of the targets of a service that are not paced.
+     * @param service name of the service
+     * @param otherwise time to return before there was an answer
+     * @return exponential moving average in milliseconds
+     */
+    public double meanMillis(String service, double otherwise) {
+        return means.getOrDefault(service, otherwise);
+    }
+
+    long objectiveMillis(String service) {
+        return objectives.getOrDefault(service, 0L);
+    }
+
     private Collection<String> vms() {
         if (timers.nowMillis() - vmsReadAt >= DAEMONS_VALID_MS) {
             vms = Set.copyOf(servingVms.get());
@@ -140,6 +164,24 @@
         usualMillis = source;
     }
 
+    /**
+     * Records the objective of a request that is sent to any target of a service.
+     * @param service name of the service
+     * @param millis time to the first part of the answer, in milliseconds
+     */
+    public void onObjective(String service, long millis) {
+        objectives.merge(service, millis, Math::min);
+    }
+
+    /**
+     * Records an answer of a target that is not paced.
+     * @param service name of the service
+     * @param millis time to the answer, in milliseconds
+     */
+    public void onAnswer(String service, double millis) {
+        means.merge(service, millis, (mean, newest) -> mean + MEAN_WEIGHT * (newest - mean));
+    }
+
     /**
      * Begins the pace of a target.
      * @param instanceId the target's instance
--- a/siskinlead-core/src/main/java/org/siskinlead/core/pacing/SlowStart.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/pacing/SlowStart.java
@@ -25,7 +25,11 @@
     private final DoubleSupplier slowdown;
     private final boolean recorded;
     private final Map<Object, Send> unanswered = new HashMap<>();
+    private final double initial;
     private double number;
+    /** Time that the last answer took, 0 before one has arrived. */
+    private long observedMillis;
+
     private long updatedAt;
     private long heldUntil;
     private long halvedAt = Long.MIN_VALUE / 2;
@@ -52,12 +56,14 @@
         this.begunAt = begunAt;
         this.slowdown = slowdown;
         this.recorded = recorded;
-        this.number = Math.max(1, Math.min(INITIAL_REQUESTS, Math.floor(MAX_INITIAL_SLOT_FRACTION * slots)));
+        this.initial = Math.max(1, Math.min(INITIAL_REQUESTS, Math.floor(MAX_INITIAL_SLOT_FRACTION * slots)));
+        this.number = initial;
         this.updatedAt = begunAt;
         this.heldUntil = begunAt;
     }
 
-    boolean isRunning() {
+    @Override
+    public boolean isLimiting() {
         update();
         return !ended;
     }
@@ -98,10 +104,17 @@
     public void onAnswered(Object exchange) {
         update();
         Send send = unanswered.remove(exchange);
+        if (send == null) {
+            return;
+        }
         long now = timers.nowMillis();
-        if (send != null && now > send.lateAt()) {
-            // The next answer to tell whether the target has become faster may take as long.
-            heldUntil = Math.max(heldUntil, now + now - send.sentAt());
+        long tookMillis = now - send.sentAt();
+        observedMillis = Math.max(1, tookMillis);
+        if (now > send.lateAt()) {
+            // The number grew by shorter answer times before; the next answer to tell more may take as long as this
+            // one.
+            number = Math.max(1, Math.min(number, initial * Math.pow(2, (now - begunAt) / (double) tookMillis)));
+            heldUntil = Math.max(heldUntil, now + tookMillis);
             pacing.increment(Pacing.Count.HELD);
         }
     }
@@ -116,18 +129,18 @@
         }
     }
 
-    /** Halves the number, once for each usual answer time, since requests sent together fail together. */
+    /** Halves the number, once in each period, since requests sent together fail together. */
     @Override
     public void onRefused() {
         update();
         long now = timers.nowMillis();
-        long usual = pacing.usualMillis(service);
-        if (ended || now - halvedAt < usual) {
+        double period = periodMillis();
+        if (ended || now - halvedAt < period) {
             return;
         }
         halvedAt = now;
         number = Math.max(1, number / 2);
-        heldUntil = Math.max(heldUntil, now + usual);
+        heldUntil = Math.max(heldUntil, now + Math.round(period));
         pacing.increment(Pacing.Count.HALVED);
     }
 
@@ -137,24 +150,34 @@
         if (ended || now <= updatedAt) {
             return;
         }
-        long usual = pacing.usualMillis(service);
         long from = Math.max(updatedAt, heldUntil);
         long until = now;
         for (Send send : unanswered.values()) {
             until = Math.min(until, send.lateAt());
         }
         if (until > from) {
-            number = Math.min(maxNumber(), number * Math.pow(2, (until - from) / (usual * slowdown.getAsDouble())));
+            number = Math.min(maxNumber(), number * Math.pow(2, (until - from) / periodMillis()));
         }
         updatedAt = now;
-        boolean isLimiting = now - limitedAt < usual && number < maxNumber();
-        if (number >= Math.max(slots, pacing.daemonCount()) && !isLimiting) {
+        boolean isHeld = until < now || now < heldUntil;
+        boolean wasLimiting = now - limitedAt < periodMillis() && number < maxNumber();
+        if (number >= Math.max(slots, pacing.daemonCount()) && !isHeld && !wasLimiting) {
             ended = true;
             unanswered.clear();
             pacing.onEnded(this, instanceId, now - begunAt, recorded);
         }
     }
 
+    /**
+     * Gets the time in which the number doubles. A daemon without an answer of the target allows for the longest time that
+     * is not late, because the daemons before it learn no sooner whether the target keeps up.
+     */
+    private double periodMillis() {
+        long usual = pacing.usualMillis(service);
+        long expected = observedMillis > 0 ? observedMillis : pacing.objectiveMillis(service);
+        return Math.max(usual, expected) * slowdown.getAsDouble();
+    }
+
     /** Gets the number with which each daemon alone could use all slots of the target. */
     private double maxNumber() {
         return (double) slots * pacing.daemonCount();
--- a/siskinlead-core/src/main/java/org/siskinlead/core/registry/TargetHealth.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/registry/TargetHealth.java
@@ -16,6 +16,12 @@
     private static final long LOAD_VALID_MS = 1_000;
     /** Age up to which a reported slowdown is used. */
     private static final long SLOWDOWN_VALID_MS = 3_000;
+    /** Time in which the excess of a slow answer over the usual time counts half. */
+    private static final long SLOW_ANSWER_HALF_LIFE_MS = 1_000;
+    /** Time from the begin of a pace within which a target may still be warming up. */
+    private static final long MAX_WARM_UP_MS = 30_000;
+
+    private static final long NEVER = Long.MIN_VALUE / 2;
     /** Latency assumed before the first answer. */
     private static final double INITIAL_LATENCY_MS = 50;
 
@@ -33,6 +39,8 @@
     private double reservedTokenLayers;
     private double failureRate;
     private double latencyMillis = INITIAL_LATENCY_MS;
+    private long answeredAt = NEVER;
+    private long pacedAt = NEVER;
     private double reportedLoad;
     private long loadReportedAt = Long.MIN_VALUE / 2;
     private long avoidUntil = Long.MIN_VALUE / 2;
@@ -181,7 +189,28 @@
     public double cost() {
         double reported = hasReportedLoad() ? reportedLoad : 0;
         double requestsPerSlot = Math.max(inFlight, reported) / Math.max(1, entry.slots());
-        return latencyMillis * (1 + inFlight + requestsPerSlot) * (1 + FAILURE_PENALTY * failureRate);
+        return expectedLatencyMillis() * (1 + inFlight + requestsPerSlot) * (1 + FAILURE_PENALTY * failureRate);
+    }
+
+    /**
+     * Computes the time to an answer that is expected now. A daemon of a large fleet expects the mean of the service from
+     * a target that it does not know, and forgets slow answers of one that may still have been warming up: it would
+     * otherwise avoid the target, and so get no answer that shows the change.
+     */
+    private double expectedLatencyMillis() {
+        if (!pacing.isActive()) {
+            return latencyMillis;
+        }
+        double mean = pacing.meanMillis(entry.service(), latencyMillis);
+        if (answeredAt < 0) {
+            return mean;
+        }
+        if (timers.nowMillis() - pacedAt > MAX_WARM_UP_MS) {
+            return latencyMillis;
+        }
+        double excess = Math.max(0, latencyMillis - mean);
+        double age = (double) (timers.nowMillis() - answeredAt) / SLOW_ANSWER_HALF_LIFE_MS;
+        return latencyMillis - excess * (1 - Math.pow(2, -age));
     }
 
     /**
@@ -219,6 +248,10 @@
     }
 
     private void beginPace(long sinceMillis, String reason) {
+        if (pacing.isActive()) {
+            pacedAt = timers.nowMillis();
+            answeredAt = NEVER;
+        }
         pace = pacing.begin(entry.instanceId(), entry.service(), entry.slots(), sinceMillis, this::slowdown, reason);
     }
 
@@ -238,6 +271,7 @@
      */
     public void onSent(Object exchange, long objectiveMillis) {
         hopsInFlight++;
+        pacing.onObjective(entry.service(), objectiveMillis);
         pace.onSent(exchange, objectiveMillis);
     }
 
@@ -339,7 +373,13 @@
      * @param millis time to the answer, in milliseconds
      */
     public void onAnswer(double millis) {
-        latencyMillis += MOVING_AVERAGE_WEIGHT * (millis - latencyMillis);
+        // The pace allows for the slow first answers of a paced target; afterwards they say nothing of it.
+        if (!pace.isLimiting()) {
+            pacing.onAnswer(entry.service(), millis);
+            double before = answeredAt < 0 ? expectedLatencyMillis() : latencyMillis;
+            latencyMillis = before + MOVING_AVERAGE_WEIGHT * (millis - before);
+            answeredAt = timers.nowMillis();
+        }
         failureRate -= MOVING_AVERAGE_WEIGHT * failureRate;
         endDown();
     }
