--- a/siskinlead-core/src/main/java/org/siskinlead/core/registry/TargetHealth.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/registry/TargetHealth.java
@@ -16,8 +16,8 @@
     private static final long LOAD_VALID_MS = 1_000;
     /** Age up to which a reported slowdown is used. */
     private static final long SLOWDOWN_VALID_MS = 3_000;
-    /** Time in which the excess of a slow answer over the usual time counts half. */
-    private static final long SLOW_ANSWER_HALF_LIFE_MS = 1_000;
+    /** Time after which the excess of a slow answer over the usual time, or a failure, counts half. */
+    private static final long SLOWNESS_HALF_LIFE_MS = 1_000;
     /** Time from the begin of a pace within which a target may still be warming up. */
     private static final long MAX_WARM_UP_MS = 30_000;
 
@@ -40,6 +40,7 @@
     private double failureRate;
     private double latencyMillis = INITIAL_LATENCY_MS;
     private long answeredAt = NEVER;
+    private long failedAt = NEVER;
     private long pacedAt = NEVER;
     private double reportedLoad;
     private long loadReportedAt = Long.MIN_VALUE / 2;
@@ -189,7 +190,9 @@
     public double cost() {
         double reported = hasReportedLoad() ? reportedLoad : 0;
         double requestsPerSlot = Math.max(inFlight, reported) / Math.max(1, entry.slots());
-        return expectedLatencyMillis() * (1 + inFlight + requestsPerSlot) * (1 + FAILURE_PENALTY * failureRate);
+        return expectedLatencyMillis()
+                * (1 + inFlight + requestsPerSlot)
+                * (1 + FAILURE_PENALTY * failureRate * weightOfSlowness(failedAt));
     }
 
     /**
@@ -205,12 +208,14 @@
         if (answeredAt < 0) {
             return mean;
         }
-        if (timers.nowMillis() - pacedAt > MAX_WARM_UP_MS) {
-            return latencyMillis;
-        }
         double excess = Math.max(0, latencyMillis - mean);
-        double age = (double) (timers.nowMillis() - answeredAt) / SLOW_ANSWER_HALF_LIFE_MS;
-        return latencyMillis - excess * (1 - Math.pow(2, -age));
+        return latencyMillis - excess * (1 - weightOfSlowness(answeredAt));
+    }
+
+    /** Gets the weight of what was observed of a target that may still have been warming up; 1 for any other one. */
+    private double weightOfSlowness(long observedAt) {
+        long now = timers.nowMillis();
+        return now - pacedAt > MAX_WARM_UP_MS ? 1 : Math.pow(2, -(now - observedAt) / (double) SLOWNESS_HALF_LIFE_MS);
     }
 
     /**
@@ -251,6 +256,7 @@
         if (pacing.isActive()) {
             pacedAt = timers.nowMillis();
             answeredAt = NEVER;
+            failureRate = 0;
         }
         pace = pacing.begin(entry.instanceId(), entry.service(), entry.slots(), sinceMillis, this::slowdown, reason);
     }
@@ -386,7 +392,10 @@
 
     /** Records a request that the target failed. */
     public void onFailure() {
-        failureRate += MOVING_AVERAGE_WEIGHT * (1 - failureRate);
+        if (!pace.isLimiting()) {
+            failureRate += MOVING_AVERAGE_WEIGHT * (1 - failureRate);
+            failedAt = timers.nowMillis();
+        }
         pace.onRefused();
     }
 
