--- a/siskinlead-core/src/main/java/org/siskinlead/core/pacing/SlowStart.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/pacing/SlowStart.java
@@ -1,7 +1,9 @@
 package org.siskinlead.core.pacing;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.DoubleSupplier;
 import org.siskinlead.core.time.Timers;
 
@@ -16,6 +18,9 @@
     /** Largest part of a target's slots with which it starts, for targets with few slots. */
     private static final double MAX_INITIAL_SLOT_FRACTION = 0.25;
 
+    /** Time after which a pace may end although no answer has shown the usual time; engines warm up in seconds. */
+    private static final long MAX_UNKNOWN_MS = 30_000;
+
     private final Pacing pacing;
     private final Timers timers;
     private final String instanceId;
@@ -26,7 +31,12 @@
     private final boolean recorded;
     private final Map<Object, Send> unanswered = new HashMap<>();
     private final double initial;
+    private final Set<Object> running = new HashSet<>();
     private double number;
+    /** Time for which this daemon could have a request on the target, and the sum of the times of those it had. */
+    private double turnMillis;
+
+    private double runningMillis;
     /** Time that the last answer took, 0 before one has arrived. */
     private long observedMillis;
 
@@ -97,6 +107,7 @@
         if (!ended) {
             long now = timers.nowMillis();
             unanswered.put(exchange, new Send(now, now + Math.max(pacing.usualMillis(service), objectiveMillis)));
+            running.add(exchange);
         }
     }
 
@@ -111,16 +122,24 @@
         long tookMillis = now - send.sentAt();
         observedMillis = Math.max(1, tookMillis);
         if (now > send.lateAt()) {
-            // The number grew by shorter answer times before; the next answer to tell more may take as long as this
-            // one.
-            number = Math.max(1, Math.min(number, initial * Math.pow(2, (now - begunAt) / (double) tookMillis)));
+            // The number grew by shorter answer times before, and need not exceed what keeps all slots busy.
+            double grown = initial * Math.pow(2, (now - begunAt) / (double) tookMillis);
+            number = Math.max(1, Math.min(number, Math.min(grown, slots / useOfTurn())));
+            // The next answer that tells more may take as long as this one.
             heldUntil = Math.max(heldUntil, now + tookMillis);
             pacing.increment(Pacing.Count.HELD);
         }
     }
 
+    /** Gets the mean number of requests that a daemon has on the target while it may have one, from its own use. */
+    private double useOfTurn() {
+        return Math.min(1, runningMillis / Math.max(1, turnMillis));
+    }
+
     @Override
     public void onEnded(Object exchange) {
+        update();
+        running.remove(exchange);
         Send send = unanswered.get(exchange);
         if (send != null && timers.nowMillis() > send.lateAt()) {
             onAnswered(exchange);
@@ -158,12 +177,19 @@
         if (until > from) {
             number = Math.min(maxNumber(), number * Math.pow(2, (until - from) / periodMillis()));
         }
+        if (limit() > 0) {
+            turnMillis += now - updatedAt;
+            runningMillis += (double) running.size() * (now - updatedAt);
+        }
         updatedAt = now;
         boolean isHeld = until < now || now < heldUntil;
         boolean wasLimiting = now - limitedAt < periodMillis() && number < maxNumber();
-        if (number >= Math.max(slots, pacing.daemonCount()) && !isHeld && !wasLimiting) {
+        boolean isKnown =
+                (observedMillis > 0 && observedMillis <= pacing.usualMillis(service)) || now - begunAt > MAX_UNKNOWN_MS;
+        if (number >= Math.max(slots, pacing.daemonCount()) && isKnown && !isHeld && !wasLimiting) {
             ended = true;
             unanswered.clear();
+            running.clear();
             pacing.onEnded(this, instanceId, now - begunAt, recorded);
         }
     }
