--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/TargetChooser.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/TargetChooser.java
@@ -80,25 +80,30 @@
                 (target.admits() ? usable : leftOut).add(target);
             }
         }
-        Optional<Choice> best = cheapest(request, usable, check);
+        Optional<Choice> best = chooseAmong(request, usable, check);
         if (!leftOut.isEmpty()) {
             context.registry().pacing().increment(Pacing.Count.LEFT_OUT);
-            best = best.or(() -> cheapestDespitePace(request, usable, leftOut, check));
+            best = best.or(() -> chooseDespitePace(request, usable, leftOut, check));
         }
+        return best;
+    }
+
+    private Optional<Choice> chooseAmong(AdmittedRequest request, List<TargetHealth> usable, CapacityCheck check) {
+        Optional<Choice> best = cheapest(request, usable, check);
         return check == CapacityCheck.SKIPPED
                 ? best
                 : askForLimit(request, usable, best).filter(choice -> interconnectHasRoom(request, choice));
     }
 
     /** Chooses among paced targets too, first without those that have been given the smallest part of their capacity. */
-    private Optional<Choice> cheapestDespitePace(
+    private Optional<Choice> chooseDespitePace(
             AdmittedRequest request, List<TargetHealth> usable, List<TargetHealth> leftOut, CapacityCheck check) {
         leftOut.sort(Comparator.comparingDouble(TargetHealth::capacityFraction).reversed());
         List<TargetHealth> furthest = new ArrayList<>(usable);
         furthest.addAll(leftOut.subList(0, (leftOut.size() + 1) / 2));
         List<TargetHealth> all = new ArrayList<>(usable);
         all.addAll(leftOut);
-        Optional<Choice> best = cheapest(request, furthest, check).or(() -> cheapest(request, all, check));
+        Optional<Choice> best = chooseAmong(request, furthest, check).or(() -> chooseAmong(request, all, check));
         if (best.isPresent()) {
             context.registry().pacing().increment(Pacing.Count.OVERRIDDEN);
         }
--- a/siskinlead-core/src/main/java/org/siskinlead/core/pacing/Pacing.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/pacing/Pacing.java
@@ -1,7 +1,6 @@
 package org.siskinlead.core.pacing;
 
 import java.util.Collection;
-import java.util.Collections;
 import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
@@ -9,7 +8,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.WeakHashMap;
 import java.util.function.DoubleSupplier;
 import java.util.function.Supplier;
 import java.util.function.ToLongFunction;
@@ -39,7 +37,6 @@
     private final Timers timers;
     private final Timeline timeline;
     private final Map<Count, Long> counts = new EnumMap<>(Count.class);
-    private final Set<SlowStart> running = Collections.newSetFromMap(new WeakHashMap<>());
     /** Mean answer times of the targets of each service that are not paced, in milliseconds. */
     private final Map<String, Double> means = new HashMap<>();
     /** Shortest objective of the callers of each service, in milliseconds. */
@@ -95,15 +92,12 @@
     }
 
     /**
-     * Lists the counts and the number of targets that are paced now.
+     * Lists the counts that are not zero.
      * @return values by metric name, {@code pacing.*}
      */
     public Map<String, Long> values() {
         Map<String, Long> values = new TreeMap<>();
         counts.forEach((count, value) -> values.put("pacing." + count.name().toLowerCase(Locale.ROOT), value));
-        values.put(
-                "pacing.paced_targets",
-                running.stream().filter(SlowStart::isLimiting).count());
         return values;
     }
 
@@ -126,6 +120,12 @@
         return Rendezvous.rank(vm, vms(), instanceId);
     }
 
+    /** Gets the time at which the daemons were last listed; ranks are the same until the next time. */
+    long listedAt() {
+        vms();
+        return vmsReadAt;
+    }
+
     /** Gets the time within which most requests of a service are answered, a default until answers have been observed. */
     long usualMillis(String service) {
         long known = usualMillis.applyAsLong(service);
@@ -202,9 +202,7 @@
         if (recorded) {
             timeline.record(EventKind.TARGET_PACE_BEGUN, "target", instanceId, "reason", reason);
         }
-        SlowStart begun = new SlowStart(this, timers, instanceId, service, slots, sinceMillis, slowdown, recorded);
-        running.add(begun);
-        return begun;
+        return new SlowStart(this, timers, instanceId, service, slots, sinceMillis, slowdown, recorded);
     }
 
     /**
@@ -215,8 +213,7 @@
         counts.merge(what, 1L, Long::sum);
     }
 
-    void onEnded(SlowStart ended, String instanceId, long tookMillis, boolean recorded) {
-        running.remove(ended);
+    void onEnded(String instanceId, long tookMillis, boolean recorded) {
         increment(Count.ENDED);
         if (recorded) {
             timeline.record(EventKind.TARGET_PACE_ENDED, "target", instanceId, "tookMs", tookMillis);
--- a/siskinlead-core/src/main/java/org/siskinlead/core/pacing/SlowStart.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/pacing/SlowStart.java
@@ -33,6 +33,8 @@
     private final double initial;
     private final Set<Object> running = new HashSet<>();
     private double number;
+    private int rank;
+    private long rankedAt = Long.MIN_VALUE;
     /** Time for which this daemon could have a request on the target, and the sum of the times of those it had. */
     private double turnMillis;
 
@@ -92,7 +94,11 @@
     private int limit() {
         int requests = (int) Math.min(Integer.MAX_VALUE, number);
         int daemons = pacing.daemonCount();
-        return requests / daemons + (pacing.rank(instanceId) < requests % daemons ? 1 : 0);
+        if (rankedAt != pacing.listedAt()) {
+            rankedAt = pacing.listedAt();
+            rank = pacing.rank(instanceId);
+        }
+        return requests / daemons + (rank < requests % daemons ? 1 : 0);
     }
 
     @Override
@@ -174,8 +180,13 @@
         for (Send send : unanswered.values()) {
             until = Math.min(until, send.lateAt());
         }
+        // With this number every daemon has a turn, and all slots can be used.
+        double enough = Math.max(slots, pacing.daemonCount());
+        double most = (double) slots * pacing.daemonCount();
+        boolean wasLimiting = now - limitedAt < periodMillis();
         if (until > from) {
-            number = Math.min(maxNumber(), number * Math.pow(2, (until - from) / periodMillis()));
+            double grown = number * Math.pow(2, (until - from) / periodMillis());
+            number = Math.max(number, Math.min(wasLimiting ? most : enough, grown));
         }
         if (limit() > 0) {
             turnMillis += now - updatedAt;
@@ -183,17 +194,20 @@
         }
         updatedAt = now;
         boolean isHeld = until < now || now < heldUntil;
-        boolean wasLimiting = now - limitedAt < periodMillis() && number < maxNumber();
-        boolean isKnown =
-                (observedMillis > 0 && observedMillis <= pacing.usualMillis(service)) || now - begunAt > MAX_UNKNOWN_MS;
-        if (number >= Math.max(slots, pacing.daemonCount()) && isKnown && !isHeld && !wasLimiting) {
+        if (number >= (wasLimiting ? most : enough) && isKnown() && !isHeld) {
             ended = true;
             unanswered.clear();
             running.clear();
-            pacing.onEnded(this, instanceId, now - begunAt, recorded);
+            pacing.onEnded(instanceId, now - begunAt, recorded);
         }
     }
 
+    /** Tells whether the last answer has shown that the target is as fast as usual, or it never will be. */
+    private boolean isKnown() {
+        return (observedMillis > 0 && observedMillis <= pacing.usualMillis(service))
+                || timers.nowMillis() - begunAt > MAX_UNKNOWN_MS;
+    }
+
     /**
      * Gets the time in which the number doubles. A daemon without an answer of the target allows for the longest time that
      * is not late, because the daemons before it learn no sooner whether the target keeps up.
@@ -203,9 +217,4 @@
         long expected = observedMillis > 0 ? observedMillis : pacing.objectiveMillis(service);
         return Math.max(usual, expected) * slowdown.getAsDouble();
     }
-
-    /** Gets the number with which each daemon alone could use all slots of the target. */
-    private double maxNumber() {
-        return (double) slots * pacing.daemonCount();
-    }
 }
--- a/siskinlead-core/src/main/java/org/siskinlead/core/registry/TargetHealth.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/registry/TargetHealth.java
@@ -235,6 +235,11 @@
         return pace.admits(hopsInFlight);
     }
 
+    /** Tells whether this target has started or recovered, and its pace has not ended. */
+    boolean isPaced() {
+        return pace.isLimiting();
+    }
+
     /**
      * Gets the part of its capacity that a target that has started or recovered may be given by all daemons together.
      * @return a fraction above 0 and at most 1; 1 when it is not paced
@@ -382,7 +387,7 @@
         // The pace allows for the slow first answers of a paced target; afterwards they say nothing of it.
         if (!pace.isLimiting()) {
             pacing.onAnswer(entry.service(), millis);
-            double before = answeredAt < 0 ? expectedLatencyMillis() : latencyMillis;
+            double before = expectedLatencyMillis();
             latencyMillis = before + MOVING_AVERAGE_WEIGHT * (millis - before);
             answeredAt = timers.nowMillis();
         }
--- a/siskinlead-core/src/main/java/org/siskinlead/core/registry/TargetRegistry.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/registry/TargetRegistry.java
@@ -114,6 +114,14 @@
         return byId.values().stream().anyMatch(t -> t.entry().instanceId().equals(instanceId));
     }
 
+    /**
+     * Counts the targets that get few requests because they have started or recovered.
+     * @return number of paced targets
+     */
+    public long pacedCount() {
+        return byId.values().stream().filter(TargetHealth::isPaced).count();
+    }
+
     /**
      * Gets the slow start of targets that start or recover.
      * @return the pacing, without effect until {@link #setPacing} is called
--- a/siskinlead-core/src/test/java/org/siskinlead/core/fakes/WarmingFleet.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/fakes/WarmingFleet.java
@@ -8,11 +8,11 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Random;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
-import org.jspecify.annotations.Nullable;
 import org.siskinlead.core.chains.HopPath;
 import org.siskinlead.core.forwarding.Dispatch;
 import org.siskinlead.core.forwarding.Forwarder;
@@ -242,6 +242,20 @@
         return machine;
     }
 
+    /** Ends a target's process for a time, which every daemon learns from a notice; it is cold afterwards. */
+    public void interrupt(Machine machine, long millis) {
+        machine.down = true;
+        for (Daemon daemon : daemons) {
+            timers.after(
+                    random.nextInt(NOTICE_SPREAD_MS),
+                    () -> daemon.registry().find(machine.entry.id()).ifPresent(t -> t.markDown(millis)));
+        }
+        timers.after(millis, () -> {
+            machine.down = false;
+            machine.startedAt = timers.nowMillis();
+        });
+    }
+
     public void run(long millis) {
         long end = timers.nowMillis() + millis;
         while (timers.nowMillis() < end) {
@@ -260,7 +274,13 @@
         Forwarder.RequestHandle handle = daemons.get(random.nextInt(daemons.size()))
                 .forwarder()
                 .onRequest(
-                        ForwardingTestBed.request(id, path, ForwardingTestBed.KEY, 20_000, id.getBytes(), List.of()),
+                        ForwardingTestBed.request(
+                                id,
+                                path,
+                                ForwardingTestBed.KEY,
+                                20_000,
+                                id.getBytes(StandardCharsets.UTF_8),
+                                List.of()),
                         reply);
         timers.after(patienceMillis, () -> {
             if (!reply.started && reply.isOpen()) {
@@ -269,19 +289,16 @@
         });
     }
 
-    /** Counts the requests sent in a period whose callers got no complete answer in their time. */
-    public long lostBetween(long from, long to) {
+    /** Lists the refusals of the requests sent in a period whose callers got no complete answer in their time. */
+    public List<String> lostBetween(long from, long to) {
         return asked.stream()
                 .filter(a -> a.at() >= from && a.at() < to && a.isLost())
-                .count();
-    }
-
-    private @Nullable Machine find(RegisteredTarget target) {
-        return machines.get(target.id());
+                .map(a -> String.valueOf(a.reply().refusal))
+                .toList();
     }
 
     private Machine machine(RegisteredTarget target) {
-        return java.util.Objects.requireNonNull(find(target));
+        return Objects.requireNonNull(machines.get(target.id()));
     }
 
     private final class Link implements TargetLink {
--- a/siskinlead-core/src/test/java/org/siskinlead/core/pacing/SlowStartExperiment.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/pacing/SlowStartExperiment.java
@@ -67,8 +67,8 @@
                 cold,
                 sends,
                 rates,
-                fleet.lostBetween(0, t0),
-                fleet.lostBetween(t0, t0 + 2 * WARM_UP_MS + 2_000),
+                fleet.lostBetween(0, t0).size(),
+                fleet.lostBetween(t0, t0 + 2 * WARM_UP_MS + 2_000).size(),
                 fleet.daemons.get(0).registry().pacing().values());
     }
 
