--- a/siskinlead-core/src/main/java/org/siskinlead/core/pacing/SlowStart.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/pacing/SlowStart.java
@@ -10,7 +10,8 @@
 /**
  * Pace of one target at one daemon. Every daemon computes the number of requests that the whole fleet may have on the
  * target. Daemons take one request each in the order of their ranks, then another one each, so that their limits add up to
- * this number as long as they agree on it. Daemons that get no answers of the target follow the same schedule in time.
+ * this number as long as they agree on it. Daemons without an answer of the target let the number grow with time alone, and
+ * correct it by the first one.
  */
 final class SlowStart implements Pace {
     /** Number of requests of the whole fleet with which a target starts. */
--- a/siskinlead-core/src/test/java/org/siskinlead/core/pacing/SlowStartTest.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/pacing/SlowStartTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import org.siskinlead.core.fakes.Fleets;
 import org.siskinlead.core.fakes.ForwardingTestBed;
+import org.siskinlead.core.fakes.RateLimitFleet;
 import org.siskinlead.core.fakes.WarmingFleet;
 import org.siskinlead.core.fakes.WarmingTargets.Machine;
 import org.siskinlead.core.registry.RegisteredTarget;
@@ -232,6 +233,19 @@
         });
     }
 
+    // Guards against daemons whose gateway does not know the others, and so paces nothing.
+    @Test
+    void isActiveInGatewaysOfMoreThanEightDaemons() {
+        assertThat(isActiveAmong(9)).isTrue();
+        assertThat(isActiveAmong(8)).isFalse();
+    }
+
+    private static boolean isActiveAmong(int daemons) {
+        RateLimitFleet fleet = new RateLimitFleet(daemons, 1, 1);
+        fleet.run(1_000);
+        return fleet.daemons.get(0).gateway.registry().pacing().isActive();
+    }
+
     // Guards against a change of behaviour in small fleets.
     @Test
     void pacesNothingInFleetsOfFewDaemons() {
