--- a/siskinlead-core/src/main/java/org/siskinlead/core/registry/TargetHealth.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/registry/TargetHealth.java
@@ -1,5 +1,9 @@
 package org.siskinlead.core.registry;
 
+import java.util.Objects;
+import org.siskinlead.core.pacing.Pace;
+import org.siskinlead.core.pacing.Pacing;
+import org.siskinlead.core.routing.LayerRange;
 import org.siskinlead.core.time.Timers;
 
 /** One instance of a target: its registry entry, the requests of this daemon on it, and its observed health. */
@@ -12,15 +16,32 @@
     private static final long LOAD_VALID_MS = 1_000;
     /** Age up to which a reported slowdown is used. */
     private static final long SLOWDOWN_VALID_MS = 3_000;
+    /** Time after which the excess of a slow answer over the usual time, or a failure, counts half. */
+    private static final long SLOWNESS_HALF_LIFE_MS = 1_000;
+    /** Time from the begin of a pace within which a target may still be warming up. */
+    private static final long MAX_WARM_UP_MS = 30_000;
+
+    private static final long NEVER = Long.MIN_VALUE / 2;
     /** Latency assumed before the first answer. */
     private static final double INITIAL_LATENCY_MS = 50;
 
     private final Timers timers;
+    private final Pacing pacing;
     private RegisteredTarget entry;
+    private Pace pace = Pace.UNLIMITED;
+    /** Whether the target was found down or unreachable, so that it is paced once it may be used again. */
+    private boolean recovering;
+
     private int inFlight;
+    /** Requests of this daemon on the target as any hop of their paths. */
+    private int hopsInFlight;
+
     private double reservedTokenLayers;
     private double failureRate;
     private double latencyMillis = INITIAL_LATENCY_MS;
+    private long answeredAt = NEVER;
+    private long failedAt = NEVER;
+    private long pacedAt = NEVER;
     private double reportedLoad;
     private long loadReportedAt = Long.MIN_VALUE / 2;
     private long avoidUntil = Long.MIN_VALUE / 2;
@@ -32,8 +53,9 @@
     private boolean leaving;
     private boolean removed;
 
-    TargetHealth(RegisteredTarget entry, Timers timers) {
+    TargetHealth(RegisteredTarget entry, Timers timers, Pacing pacing) {
         this.timers = timers;
+        this.pacing = pacing;
         this.entry = entry;
         this.leaving = entry.leaving();
     }
@@ -168,7 +190,32 @@
     public double cost() {
         double reported = hasReportedLoad() ? reportedLoad : 0;
         double requestsPerSlot = Math.max(inFlight, reported) / Math.max(1, entry.slots());
-        return latencyMillis * (1 + inFlight + requestsPerSlot) * (1 + FAILURE_PENALTY * failureRate);
+        return expectedLatencyMillis()
+                * (1 + inFlight + requestsPerSlot)
+                * (1 + FAILURE_PENALTY * failureRate * weightOfSlowness(failedAt));
+    }
+
+    /**
+     * Computes the time to an answer that is expected now. A daemon of a large fleet expects the mean of the service from
+     * a target that it does not know, and forgets slow answers of one that may still have been warming up: it would
+     * otherwise avoid the target, and so get no answer that shows the change.
+     */
+    private double expectedLatencyMillis() {
+        if (!pacing.isActive()) {
+            return latencyMillis;
+        }
+        double mean = pacing.meanMillis(entry.service(), latencyMillis);
+        if (answeredAt < 0) {
+            return mean;
+        }
+        double excess = Math.max(0, latencyMillis - mean);
+        return latencyMillis - excess * (1 - weightOfSlowness(answeredAt));
+    }
+
+    /** Gets the weight of what was observed of a target that may still have been warming up; 1 for any other one. */
+    private double weightOfSlowness(long observedAt) {
+        long now = timers.nowMillis();
+        return now - pacedAt > MAX_WARM_UP_MS ? 1 : Math.pow(2, -(now - observedAt) / (double) SLOWNESS_HALF_LIFE_MS);
     }
 
     /**
@@ -179,8 +226,89 @@
         return timers.nowMillis() - slowdownReportedAt < SLOWDOWN_VALID_MS ? Math.max(1, slowdown) : 1;
     }
 
+    /**
+     * Checks whether the pace of a target that has started or recovered lets it get another request of this daemon.
+     * @return true if it is not paced, or has fewer requests than the pace allows
+     */
+    public boolean admits() {
+        beginPaceIfRecovered();
+        return pace.admits(hopsInFlight);
+    }
+
+    /** Tells whether this target has started or recovered, and its pace has not ended. */
+    boolean isPaced() {
+        return pace.isLimiting();
+    }
+
+    /**
+     * Gets the part of its capacity that a target that has started or recovered may be given by all daemons together.
+     * @return a fraction above 0 and at most 1; 1 when it is not paced
+     */
+    public double capacityFraction() {
+        beginPaceIfRecovered();
+        return pace.capacityFraction();
+    }
+
     // Commands
 
+    /** Limits this target to few requests at first, because it has started or changed. */
+    void beginPace(String reason) {
+        recovering = false;
+        beginPace(timers.nowMillis(), reason);
+    }
+
+    private void beginPace(long sinceMillis, String reason) {
+        if (pacing.isActive()) {
+            pacedAt = timers.nowMillis();
+            answeredAt = NEVER;
+            failureRate = 0;
+        }
+        pace = pacing.begin(entry.instanceId(), entry.service(), entry.slots(), sinceMillis, this::slowdown, reason);
+    }
+
+    private void beginPaceIfRecovered() {
+        long now = timers.nowMillis();
+        long usableSince = Math.max(downUntil, avoidUntil);
+        if (recovering && usableSince <= now) {
+            recovering = false;
+            beginPace(usableSince, "recovered");
+        }
+    }
+
+    /**
+     * Records that a request was sent on a path through this target, as any hop.
+     * @param exchange identifies the send in later calls
+     * @param objectiveMillis the caller's objective for the time to the first part of the answer, in milliseconds
+     */
+    public void onSent(Object exchange, long objectiveMillis) {
+        hopsInFlight++;
+        pacing.onObjective(entry.service(), objectiveMillis);
+        pace.onSent(exchange, objectiveMillis);
+    }
+
+    /**
+     * Records the first part of the answer to a request that was sent on a path through this target.
+     * @param exchange the send
+     */
+    public void onFirstPart(Object exchange) {
+        pace.onAnswered(exchange);
+    }
+
+    /**
+     * Records the end of a request that was sent on a path through this target.
+     * @param exchange the send
+     */
+    public void onEnded(Object exchange) {
+        hopsInFlight--;
+        pace.onEnded(exchange);
+    }
+
+    /** Records that this target accepted no connection; it is paced once it is no longer avoided. */
+    public void onUnreachable() {
+        pace.onRefused();
+        recovering = true;
+    }
+
     /**
      * Records a slowdown that the target reported.
      * @param reported duration of its work relative to the normal duration
@@ -197,11 +325,15 @@
 
     /** Clears the down state, after a false detection or a recovery. */
     public void clearDown() {
-        downUntil = Long.MIN_VALUE / 2;
+        endDown();
+    }
+
+    private void endDown() {
+        downUntil = Math.min(downUntil, timers.nowMillis());
     }
 
     void update(RegisteredTarget newer) {
-        entry = newer;
+        updateLayers(newer);
         leaving |= newer.leaving();
         removed = false;
     }
@@ -222,7 +354,11 @@
      * @param newer entry with the layers that the target holds
      */
     public void updateLayers(RegisteredTarget newer) {
+        LayerRange before = entry.layers();
         entry = newer;
+        if (newer.layers() != null && !Objects.equals(before, newer.layers())) {
+            beginPace("holds new layers");
+        }
     }
 
     /** Counts a request as in flight. */
@@ -248,14 +384,24 @@
      * @param millis time to the answer, in milliseconds
      */
     public void onAnswer(double millis) {
-        latencyMillis += MOVING_AVERAGE_WEIGHT * (millis - latencyMillis);
+        // The pace allows for the slow first answers of a paced target; afterwards they say nothing of it.
+        if (!pace.isLimiting()) {
+            pacing.onAnswer(entry.service(), millis);
+            double before = expectedLatencyMillis();
+            latencyMillis = before + MOVING_AVERAGE_WEIGHT * (millis - before);
+            answeredAt = timers.nowMillis();
+        }
         failureRate -= MOVING_AVERAGE_WEIGHT * failureRate;
-        downUntil = Long.MIN_VALUE / 2;
+        endDown();
     }
 
     /** Records a request that the target failed. */
     public void onFailure() {
-        failureRate += MOVING_AVERAGE_WEIGHT * (1 - failureRate);
+        if (!pace.isLimiting()) {
+            failureRate += MOVING_AVERAGE_WEIGHT * (1 - failureRate);
+            failedAt = timers.nowMillis();
+        }
+        pace.onRefused();
     }
 
     /**
@@ -273,6 +419,7 @@
      */
     public void avoid(long millis) {
         avoidUntil = Math.max(avoidUntil, timers.nowMillis() + millis);
+        pace.onRefused();
     }
 
     /**
@@ -289,5 +436,6 @@
      */
     public void markDown(long millis) {
         downUntil = Math.max(downUntil, timers.nowMillis() + millis);
+        recovering = true;
     }
 }
