Retry budget: claim chunks from a pool in the store

Change: package retrybudget replaces forwarding/RetryBudgetShare. A retry is paid at its send and waits in the queue while the next one is known to come in time.

--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/AbstractForwardedCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/AbstractForwardedCall.java
@@ -8,6 +8,7 @@
 import org.siskinlead.core.forwarding.ForwardingCounters.Count;
 import org.siskinlead.core.ratelimit.TargetRateLimits;
 import org.siskinlead.core.registry.TargetHealth;
+import org.siskinlead.core.retrybudget.RetryBudgetShare;
 import org.siskinlead.core.serving.Refusal;
 import org.siskinlead.core.serving.RefusalCode;
 import org.siskinlead.core.time.Timer;
@@ -35,6 +36,7 @@
     final AdmittedRequest admitted;
     final Reply reply;
     final SendHistory sendHistory;
+    final RetryPayment payment;
     private final Runnable onDone;
     private final Timer deadline;
 
@@ -62,6 +64,8 @@
         this.reply = reply;
         this.onDone = onDone;
         this.sendHistory = new SendHistory(context, admitted);
+        this.payment =
+                new RetryPayment(context.retryBudget(), admitted.service().name());
         this.deadline =
                 context.timers().after(admitted.deadlineAt() - context.timers().nowMillis(), this::onDeadline);
     }
@@ -97,9 +101,6 @@
     /** Tells whether the caller has a part of the answer, which is lost unless the rest of it follows. */
     abstract boolean isBegun();
 
-    /** Gets the time until the retry budget lets this request be sent, in milliseconds. */
-    abstract long millisToRetryBudget();
-
     /** Sends the request again, after the checks of the retry limits have passed. */
     abstract void retry(String reason);
 
@@ -134,8 +135,8 @@
         if (refuseIfUnusableFor(Math.max(0, waitMillis)) || refuseIfWithoutPath()) {
             return;
         }
-        if (millisToRetryBudget() > waitMillis) {
-            giveUp(lastFailure + "; retry budget exhausted");
+        if (lacksBudgetFor(waitMillis, queue.heldBackAhead(this))) {
+            denyRetry();
         } else if (!isSendOfUse()) {
             onExpired();
         } else if (!queue.expectsSendInTime(this)) {
@@ -312,21 +313,48 @@
         }
     }
 
-    /** Sends the request again after a failure if its attempts and the retry budget allow it. */
-    void retryOrGiveUp(String reason, RetryBudgetShare.Cost cost) {
+    /** Sends the request again after a failure if its attempts allow it and the retry budget does in time. */
+    void retryOrGiveUp(String reason, RetryPayment.Cost cost) {
         lastFailure = reason;
         attempt = null;
+        payment.onDue(cost);
         if (!sendHistory.allowsRetry()) {
             giveUp(reason);
-        } else if (cost == RetryBudgetShare.Cost.BUDGETED
-                && !context.retryBudget().tryAcquire(admitted.service().name(), retryPurpose())) {
-            context.counters().increment(Count.RETRIES_DENIED);
-            giveUp(reason + "; retry budget exhausted");
+        } else if (lacksBudgetInTime(queue.heldBackAhead(this))) {
+            denyRetry();
         } else {
             retry(reason);
         }
     }
 
+    @Override
+    public final boolean isHeldBack() {
+        return payment.isShort(retryPurpose());
+    }
+
+    /** Tells whether the next retry after a number of others is not known to come while a send is of use. */
+    final boolean lacksBudgetInTime(int ahead) {
+        return lacksBudgetFor(latestSendAt() - context.timers().nowMillis(), ahead);
+    }
+
+    private boolean lacksBudgetFor(long waitMillis, int ahead) {
+        return isHeldBack() && payment.millisToPay(retryPurpose(), ahead) > waitMillis;
+    }
+
+    /** Ends a request that waits for the retry budget if that is not known to come in time; returns whether it did. */
+    final boolean endIfBudgetIsLate() {
+        if (!lacksBudgetInTime(0)) {
+            return false;
+        }
+        denyRetry();
+        return true;
+    }
+
+    private void denyRetry() {
+        context.counters().increment(Count.RETRIES_DENIED);
+        giveUp(lastFailure + "; retry budget exhausted");
+    }
+
     final void giveUp(String reason) {
         giveUp(Ending.TARGETS_FAILED, reason);
     }
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/BufferedCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/BufferedCall.java
@@ -9,6 +9,7 @@
 import org.siskinlead.core.forwarding.ForwardingCounters.Latency;
 import org.siskinlead.core.forwarding.TargetChooser.CapacityCheck;
 import org.siskinlead.core.registry.TargetHealth;
+import org.siskinlead.core.retrybudget.RetryBudgetShare;
 import org.siskinlead.core.serving.Refusal;
 import org.siskinlead.core.serving.RefusalCode;
 import org.siskinlead.core.time.Timer;
@@ -26,6 +27,9 @@
 
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private @Nullable TargetResponse head;
+    /** Whether the last target has answered with an error, which the caller gets unless another one answers. */
+    private boolean holdsAnswer;
+
     private Timer headTimeout = () -> {};
 
     private BufferedCall(
@@ -64,13 +68,17 @@
 
     @Override
     public boolean trySend() {
+        if (isHeldBack()) {
+            return endIfBudgetIsLate();
+        }
         Optional<TargetChooser.Choice> choice =
                 chooser.choose(admitted, sendHistory.excludedInstances(), CapacityCheck.ENFORCED);
-        if (choice.isEmpty()) {
+        if (choice.isEmpty() || !payment.pay(retryPurpose())) {
             return false;
         }
         discardBody();
         head = null;
+        holdsAnswer = false;
         queue.onSent();
         sendHistory.onSent(choice.get().target());
         Attempt next = new Attempt(context, admitted, choice.get(), this);
@@ -105,7 +113,7 @@
             sendHistory.exclude(from.target().entry().instanceId());
             retryOrGiveUp(
                     from.target().entry().id() + " refused the request with status " + response.status(),
-                    RetryBudgetShare.Cost.BUDGETED);
+                    RetryPayment.Cost.BUDGETED);
         }
     }
 
@@ -119,6 +127,7 @@
     public void onMemoryExhausted() {
         Attempt current = attempt;
         body.reset();
+        holdsAnswer = false;
         if (current != null) {
             current.cancel();
             handleFailure(current, LinkFailure.MALFORMED);
@@ -142,10 +151,11 @@
         if (response.isServerError()) {
             from.target().onFailure();
             sendHistory.exclude(from.target().entry().instanceId());
-            if (sendHistory.allowsRetry()
-                    && context.retryBudget()
-                            .tryAcquire(admitted.service().name(), RetryBudgetShare.Purpose.RESUME_OR_BUFFERED)) {
-                retry(from.target().entry().id() + " answered with status " + response.status());
+            if (sendHistory.allowsRetry()) {
+                holdsAnswer = true;
+                retryOrGiveUp(
+                        from.target().entry().id() + " answered with status " + response.status(),
+                        RetryPayment.Cost.BUDGETED);
                 return;
             }
         } else {
@@ -157,6 +167,16 @@
         }
     }
 
+    @Override
+    void giveUp(Ending ending, String reason) {
+        TargetResponse answer = head;
+        if (holdsAnswer && answer != null && !isDone()) {
+            deliver(answer);
+        } else {
+            super.giveUp(ending, reason);
+        }
+    }
+
     private void deliver(TargetResponse response) {
         long tookMillis = context.timers().nowMillis() - admitted.receivedAt();
         context.counters()
@@ -190,7 +210,7 @@
         }
         retryOrGiveUp(
                 target.entry().id() + " failed: " + failure,
-                failure.mayHaveRun() ? RetryBudgetShare.Cost.BUDGETED : RetryBudgetShare.Cost.FREE);
+                failure.mayHaveRun() ? RetryPayment.Cost.BUDGETED : RetryPayment.Cost.FREE);
     }
 
     /** Retries a safe request on another target when no response head has arrived within the timeout. */
@@ -209,22 +229,15 @@
         boolean hasOtherTarget = chooser.choose(admitted, sendHistory.excludedInstances(), CapacityCheck.ENFORCED)
                 .isPresent();
         if (hasOtherTarget
-                && context.retryBudget()
-                        .tryAcquire(admitted.service().name(), RetryBudgetShare.Purpose.RESUME_OR_BUFFERED)) {
+                && context.retryBudget().millisToAcquire(admitted.service().name(), retryPurpose()) == 0) {
             headTimeout.cancel();
             waiting.target().onFailure();
             waiting.cancel();
             sendHistory.onMayHaveRun();
-            retry(reason);
+            retryOrGiveUp(reason, RetryPayment.Cost.BUDGETED);
         }
     }
 
-    /** A retry of a call is taken from the budget before it waits. */
-    @Override
-    long millisToRetryBudget() {
-        return 0;
-    }
-
     @Override
     RetryBudgetShare.Purpose retryPurpose() {
         return RetryBudgetShare.Purpose.RESUME_OR_BUFFERED;
@@ -237,7 +250,6 @@
 
     @Override
     void retry(String reason) {
-        attempt = null;
         context.counters().increment(Count.RETRIED);
         context.timeline()
                 .record(EventKind.REQUEST_RETRIED, "request", admitted.request().id(), "reason", reason);
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/Forwarder.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/Forwarder.java
@@ -22,6 +22,7 @@
 import org.siskinlead.core.ratelimit.TargetRateLimits;
 import org.siskinlead.core.registry.TargetRegistry;
 import org.siskinlead.core.retry.CrashSuspects;
+import org.siskinlead.core.retrybudget.RetryBudgetShare;
 import org.siskinlead.core.serving.Refusal;
 import org.siskinlead.core.serving.RefusalCode;
 import org.siskinlead.core.time.Timers;
@@ -92,7 +93,7 @@
      * @param rateLimits limits that targets have named
      * @param freshness state of the proof that the catalog is recent
      * @param renewProof requests a new proof from the store at once
-     * @param budget retry budget of all daemons together
+     * @param retryBudget this daemon's share of the retries of all daemons
      * @param daemonCount number of serving daemons
      * @param random source of target, service and retry-time choices
      * @return the forwarder
@@ -105,7 +106,7 @@
             TargetRateLimits rateLimits,
             Freshness freshness,
             Runnable renewProof,
-            RetryBudgetShare.Budget budget,
+            RetryBudgetShare retryBudget,
             IntSupplier daemonCount,
             RandomGenerator random) {
         ForwardingCounters counters = new ForwardingCounters();
@@ -117,7 +118,7 @@
                 timeline,
                 registry,
                 metered,
-                RetryBudgetShare.of(budget, daemonCount, timers),
+                retryBudget,
                 CrashSuspects.of(timers),
                 new CrashWatch(timers, timeline, Long.toHexString(random.nextLong()) + "-"),
                 prober,
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/ForwardingContext.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/ForwardingContext.java
@@ -5,6 +5,7 @@
 import org.siskinlead.core.ratelimit.TargetRateLimits;
 import org.siskinlead.core.registry.TargetRegistry;
 import org.siskinlead.core.retry.CrashSuspects;
+import org.siskinlead.core.retrybudget.RetryBudgetShare;
 import org.siskinlead.core.time.Timers;
 import org.siskinlead.core.timeline.Timeline;
 
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/ForwardingCounters.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/ForwardingCounters.java
@@ -3,6 +3,7 @@
 import java.util.EnumMap;
 import java.util.Map;
 import java.util.TreeMap;
+import org.siskinlead.core.retrybudget.RetryBudgetShare;
 import org.siskinlead.core.serving.RefusalCode;
 
 /** Counts and times request outcomes. Not thread-safe: used on the decision thread only. */
@@ -27,6 +28,10 @@
         RETRIED,
         /** Requests given up because the retry budget was exhausted. */
         RETRIES_DENIED,
+        /** Chunks of the retry budget that this daemon has claimed from the pool of all daemons. */
+        RETRY_CHUNKS_CLAIMED,
+        /** Claims of chunks that failed, since the store did not confirm them or all chunks tried were taken. */
+        RETRY_CLAIMS_FAILED,
         /** Requests whose caller disconnected before the end. */
         CALLER_LEFT,
         QUEUED,
@@ -66,6 +71,24 @@
         listener = receiver;
     }
 
+    /**
+     * Creates a listener that counts claims from the pool of the retry budget.
+     * @return the listener
+     */
+    public RetryBudgetShare.Listener claimListener() {
+        return new RetryBudgetShare.Listener() {
+            @Override
+            public void onChunkClaimed() {
+                increment(Count.RETRY_CHUNKS_CLAIMED);
+            }
+
+            @Override
+            public void onClaimFailed() {
+                increment(Count.RETRY_CLAIMS_FAILED);
+            }
+        };
+    }
+
     void recordLatency(Latency what, long millis) {
         listener.onLatency(what, millis);
     }
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/RequestQueue.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/RequestQueue.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.stream.Stream;
 import org.siskinlead.core.time.Timers;
 
 /**
@@ -35,6 +36,11 @@
         /** Tries to send the request; returns false when no target has capacity. */
         boolean trySend();
 
+        /** Tells whether the request waits for something else than capacity of targets, and so delays no other one. */
+        default boolean isHeldBack() {
+            return false;
+        }
+
         /** Runs when the request has been removed because it cannot be sent in time. */
         void onExpired();
     }
@@ -63,9 +69,17 @@
 
     /** Counts the queued requests that are served before a request. */
     int lengthAhead(Waiter waiter) {
+        return (int) ahead(waiter).filter(w -> !w.isHeldBack()).count();
+    }
+
+    /** Counts the queued requests that are held back and come before a request. */
+    int heldBackAhead(Waiter waiter) {
+        return (int) ahead(waiter).filter(Waiter::isHeldBack).count();
+    }
+
+    private Stream<Waiter> ahead(Waiter waiter) {
         Entry entry = Entry.of(waiter);
-        return (int)
-                queue.stream().filter(e -> Entry.ORDER.compare(e, entry) <= 0).count();
+        return queue.stream().filter(e -> Entry.ORDER.compare(e, entry) <= 0).map(Entry::waiter);
     }
 
     /** Tells whether a request that joins the queue now can expect to be sent while that is of use to its caller. */
@@ -146,7 +160,7 @@
         int ahead = 0;
         for (Entry entry : List.copyOf(queue)) {
             if (expectsSendInTime(entry.latestSendAt(), ahead)) {
-                ahead++;
+                ahead += entry.waiter().isHeldBack() ? 0 : 1;
             } else if (queue.remove(entry)) {
                 entry.waiter().onExpired();
             }
@@ -159,12 +173,13 @@
         for (Entry entry : List.copyOf(queue)) {
             failed = entry.priority() == priority ? failed : 0;
             priority = entry.priority();
-            if (failed >= MAX_FAILED_SENDS_PER_TICK || !queue.contains(entry)) {
+            boolean heldBack = entry.waiter().isHeldBack();
+            if ((failed >= MAX_FAILED_SENDS_PER_TICK && !heldBack) || !queue.contains(entry)) {
                 continue;
             }
             if (trySend(entry)) {
                 queue.remove(entry);
-            } else {
+            } else if (!heldBack) {
                 failed++;
             }
         }
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamingCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamingCall.java
@@ -10,6 +10,7 @@
 import org.siskinlead.core.forwarding.ForwardingCounters.Latency;
 import org.siskinlead.core.forwarding.TargetChooser.CapacityCheck;
 import org.siskinlead.core.registry.TargetHealth;
+import org.siskinlead.core.retrybudget.RetryBudgetShare;
 import org.siskinlead.core.serving.Refusal;
 import org.siskinlead.core.serving.RefusalCode;
 import org.siskinlead.core.timeline.EventKind;
@@ -21,7 +22,6 @@
 final class StreamingCall extends AbstractForwardedCall {
     private final StreamRuns runs = new StreamRuns();
     private final StreamTiming timing;
-    private final StreamResumption resumption;
     private boolean started;
     private long lastEventId;
 
@@ -35,7 +35,6 @@
         super(context, chooser, queue, admitted, reply, onDone);
         this.lastEventId = admitted.request().lastEventId();
         this.timing = new StreamTiming(context.timers(), admitted.receivedAt());
-        this.resumption = StreamResumption.of(context, chooser, admitted, sendHistory);
     }
 
     static StreamingCall of(
@@ -70,8 +69,11 @@
         if (!started && refuseIfOutlastingDrain()) {
             return true;
         }
+        if (isHeldBack()) {
+            return endIfBudgetIsLate();
+        }
         Optional<TargetChooser.Choice> choice = chooseWithout(runs.silentInstance());
-        if (choice.isEmpty() || !resumption.pay()) {
+        if (choice.isEmpty() || !payment.pay(retryPurpose())) {
             return false;
         }
         queue.onSent();
@@ -86,12 +88,19 @@
     }
 
     private Optional<TargetChooser.Choice> chooseWithout(Set<String> instanceIds) {
-        if (started) {
-            return resumption.chooseWithout(instanceIds);
-        }
+        return started
+                ? chooseToResumeWithout(instanceIds)
+                : chooser.choose(admitted, excludedAnd(instanceIds), CapacityCheck.ENFORCED);
+    }
+
+    private Optional<TargetChooser.Choice> chooseToResumeWithout(Set<String> instanceIds) {
+        return chooser.choose(admitted, excludedAnd(instanceIds), sendHistory::allowsResumeAt, CapacityCheck.ENFORCED);
+    }
+
+    private Set<String> excludedAnd(Set<String> instanceIds) {
         Set<String> excluded = new HashSet<>(sendHistory.excludedInstances());
         excluded.addAll(instanceIds);
-        return chooser.choose(admitted, excluded, CapacityCheck.ENFORCED);
+        return excluded;
     }
 
     // Responses
@@ -114,14 +123,14 @@
             retryOrGiveUp(
                     from.target().entry().id() + " answered with status " + response.status()
                             + " when the stream was resumed",
-                    RetryBudgetShare.Cost.BUDGETED);
+                    RetryPayment.Cost.BUDGETED);
         } else if (!response.isSuccess() && sendHistory.allowsRetry() && response.isServerError()) {
             from.cancel();
             from.target().onFailure();
             sendHistory.onMayHaveRun();
             retryOrGiveUp(
                     from.target().entry().id() + " answered with status " + response.status(),
-                    RetryBudgetShare.Cost.BUDGETED);
+                    RetryPayment.Cost.BUDGETED);
         } else {
             runs.of(from).onHead(response);
         }
@@ -249,7 +258,7 @@
         }
         retryOrGiveUp(
                 from.target().entry().id() + " failed: " + failure,
-                failure.mayHaveRun() ? RetryBudgetShare.Cost.BUDGETED : RetryBudgetShare.Cost.FREE);
+                failure.mayHaveRun() ? RetryPayment.Cost.BUDGETED : RetryPayment.Cost.FREE);
     }
 
     private void onTargetRefusal(Attempt from, TargetResponse response) {
@@ -257,7 +266,7 @@
         sendHistory.onNotRun(from.target());
         retryOrGiveUp(
                 faulty.entry().id() + " refused the request with status " + response.status(),
-                RetryBudgetShare.Cost.BUDGETED);
+                RetryPayment.Cost.BUDGETED);
     }
 
     @Override
@@ -280,11 +289,11 @@
         }
         current.cancel();
         sendHistory.onMayHaveRun();
-        retryOrGiveUp(instanceId + " was found down", RetryBudgetShare.Cost.BUDGETED);
+        retryOrGiveUp(instanceId + " was found down", RetryPayment.Cost.BUDGETED);
     }
 
     @Override
-    void retryOrGiveUp(String reason, RetryBudgetShare.Cost cost) {
+    void retryOrGiveUp(String reason, RetryPayment.Cost cost) {
         if (!started) {
             super.retryOrGiveUp(reason, cost);
             return;
@@ -292,7 +301,7 @@
         lastFailure = reason;
         attempt = null;
         if (sendHistory.allowsResume()) {
-            resumption.onDue(cost);
+            payment.onDue(cost);
             retry(reason);
         } else {
             giveUp(reason);
@@ -319,11 +328,6 @@
         sendOrWait();
     }
 
-    @Override
-    long millisToRetryBudget() {
-        return resumption.millisToPay();
-    }
-
     @Override
     RetryBudgetShare.Purpose retryPurpose() {
         return started ? RetryBudgetShare.Purpose.RESUME_OR_BUFFERED : RetryBudgetShare.Purpose.STREAM_START;
@@ -346,7 +350,7 @@
         } else {
             runs.keepAsSilent();
         }
-        retryOrGiveUp(reason, RetryBudgetShare.Cost.BUDGETED);
+        retryOrGiveUp(reason, RetryPayment.Cost.BUDGETED);
     }
 
     /** Continues with the attempt that has written an event, and cancels the other one. */
@@ -408,7 +412,7 @@
             return;
         }
         String instanceId = current.target().entry().instanceId();
-        if (runs.hasSilent() || resumption.chooseWithout(Set.of(instanceId)).isEmpty()) {
+        if (runs.hasSilent() || chooseToResumeWithout(Set.of(instanceId)).isEmpty()) {
             return;
         }
         current.target().onFailure();
--- a/siskinlead-core/src/main/java/org/siskinlead/core/gateway/Gateway.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/gateway/Gateway.java
@@ -10,7 +10,6 @@
 import org.siskinlead.core.forwarding.Forwarder;
 import org.siskinlead.core.forwarding.ForwardingCounters;
 import org.siskinlead.core.forwarding.MeteredTargetLink;
-import org.siskinlead.core.forwarding.RetryBudgetShare;
 import org.siskinlead.core.forwarding.TargetLink;
 import org.siskinlead.core.freshness.EraGuard;
 import org.siskinlead.core.freshness.Freshness;
@@ -20,6 +19,8 @@
 import org.siskinlead.core.ratelimit.RateLimitReports;
 import org.siskinlead.core.ratelimit.TargetRateLimits;
 import org.siskinlead.core.registry.TargetRegistry;
+import org.siskinlead.core.retrybudget.RetryBudgetShare;
+import org.siskinlead.core.retrybudget.TimedLeaseStore;
 import org.siskinlead.core.roster.Roster;
 import org.siskinlead.core.roster.RosterEntry;
 import org.siskinlead.core.time.Timers;
@@ -54,6 +55,7 @@
     private final CrashReports crashReports;
     private final TargetRateLimits rateLimits;
     private final RateLimitReports rateLimitReports;
+    private final RetryBudgetShare retryBudget;
     private final long knownToCallersMillis;
     private final long keptByCallersMillis;
     private Consumer<Catalog> catalogListener = catalog -> {};
@@ -107,11 +109,17 @@
         this.timeline = timeline;
         this.freshness = Freshness.of(timers, settings.maxProofAgeMillis());
         this.registry = TargetRegistry.of(timers, timeline);
-        this.roster = Roster.start(self, ports.store(), timers, timeline);
+        TimedLeaseStore store = TimedLeaseStore.of(ports.store(), timers);
+        this.roster = Roster.start(self, store, timers, timeline);
         this.rateLimits = TargetRateLimits.of(
                 self.vm(), () -> roster.entries().stream().map(RosterEntry::vm).toList(), timers, timeline);
-        this.rateLimitReports = RateLimitReports.of(
-                rateLimits, ports.store(), timers, ports.random(), roster::size, registry::isRegistered);
+        this.rateLimitReports =
+                RateLimitReports.of(rateLimits, store, timers, ports.random(), roster::size, registry::isRegistered);
+        this.retryBudget = RetryBudgetShare.pooled(
+                settings.retries(),
+                roster::size,
+                timers,
+                new RetryBudgetShare.Ports(store, ports.random(), timeline, self.vm()));
         this.forwarder = Forwarder.of(
                 timers,
                 timeline,
@@ -120,17 +128,18 @@
                 rateLimits,
                 freshness,
                 ports.renewProof(),
-                settings.retries(),
+                retryBudget,
                 roster::size,
                 ports.random());
+        retryBudget.setListener(forwarder.counters().claimListener());
         this.eraGuard = EraGuard.of(
-                ports.store(),
+                store,
                 timers,
                 settings.eras(),
                 () -> forwarder.catalog().map(Catalog::version).orElse(0L),
                 this::rankOnRoster,
                 ports.renewProof());
-        this.crashReports = CrashReports.of(self.vm(), ports.store(), timers, ports.random(), roster::size);
+        this.crashReports = CrashReports.of(self.vm(), store, timers, ports.random(), roster::size);
         forwarder.setCrashReports(crashReports);
         forwarder.setOthersServe(this::othersServe, settings.directoryTtlMillis());
         forwarder.setDownNoticePublisher(roster::publishDown);
@@ -283,6 +292,7 @@
      */
     public void onStoreEra(long era) {
         eraGuard.onEra(era);
+        retryBudget.onStoreEra(era);
     }
 
     /**
@@ -405,6 +415,7 @@
         roster.onStoreRestored();
         crashReports.onStoreRestored();
         rateLimitReports.onStoreRestored();
+        retryBudget.onStoreRestored();
     }
 
     /**
--- a/siskinlead-core/src/main/java/org/siskinlead/core/timeline/EventKind.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/timeline/EventKind.java
@@ -11,6 +11,8 @@
     REQUEST_ENDED,
     /** A request that was passed on to a target ended without a complete answer to its caller. */
     REQUEST_CUT,
+    /** Claims from the pool of the retry budget in one window, recorded at its end. */
+    RETRY_CHUNKS_CLAIMED,
     /** A target did not answer, or was found down, and receives no requests until it recovers. */
     TARGET_SUSPECTED,
     TARGET_RECOVERED,
--- a/siskinlead-core/src/test/java/org/siskinlead/core/fakes/ForwardingTestBed.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/fakes/ForwardingTestBed.java
@@ -14,11 +14,11 @@
 import org.siskinlead.core.catalog.WeightedService;
 import org.siskinlead.core.forwarding.Forwarder;
 import org.siskinlead.core.forwarding.IncomingRequest;
-import org.siskinlead.core.forwarding.RetryBudgetShare;
 import org.siskinlead.core.freshness.Freshness;
 import org.siskinlead.core.ratelimit.TargetRateLimits;
 import org.siskinlead.core.registry.RegisteredTarget;
 import org.siskinlead.core.registry.TargetRegistry;
+import org.siskinlead.core.retrybudget.RetryBudgetShare;
 import org.siskinlead.core.routing.LayerRange;
 import org.siskinlead.core.timeline.HybridClock;
 import org.siskinlead.core.timeline.Timeline;
@@ -48,7 +48,7 @@
                 rateLimits,
                 freshness,
                 () -> renewalCount++,
-                new RetryBudgetShare.Budget(0.2, 40, 10_000),
+                RetryBudgetShare.of(new RetryBudgetShare.Budget(0.2, 40, 10_000), () -> 1, timers),
                 () -> 1,
                 new Random(1));
         forwarder.setDownNoticePublisher((instanceId, fingerprints) -> published.add(instanceId));
--- a/siskinlead-core/src/test/java/org/siskinlead/core/forwarding/ForwarderTest.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/forwarding/ForwarderTest.java
@@ -9,6 +9,7 @@
 import org.siskinlead.core.fakes.ForwardingTestBed;
 import org.siskinlead.core.fakes.RecordedReply;
 import org.siskinlead.core.ratelimit.TargetRateLimits;
+import org.siskinlead.core.retrybudget.RetryBudgetShare;
 import org.siskinlead.core.serving.RefusalCode;
 import org.siskinlead.core.serving.RequestOutcome;
 
@@ -90,7 +91,7 @@
                 TargetRateLimits.of("vm", List::of, empty.timers, empty.timeline),
                 empty.freshness,
                 () -> {},
-                new RetryBudgetShare.Budget(0.2, 40, 10_000),
+                RetryBudgetShare.of(new RetryBudgetShare.Budget(0.2, 40, 10_000), () -> 1, empty.timers),
                 () -> 1,
                 new java.util.Random(1));
         RecordedReply reply = new RecordedReply();
--- a/siskinlead-core/src/test/java/org/siskinlead/core/forwarding/RetryBudgetShareTest.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/retrybudget/RetryBudgetShareTest.java
@@ -1,4 +1,4 @@
-package org.siskinlead.core.forwarding;
+package org.siskinlead.core.retrybudget;
 
 import static com.google.common.truth.Truth.assertThat;
 
