--- a/siskinlead-core/src/main/java/org/siskinlead/core/retrybudget/ChunkClaims.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/retrybudget/ChunkClaims.java
@@ -24,11 +24,13 @@
     private static final String PREFIX = "siskinlead-retry/";
 
     /** Unconfirmed claims at a time; more would often be refused for chunks that others take meanwhile. */
-    private static final int MAX_UNDER_WAY = 4;
-    /** Numbers that a claim tries; with a fifth of the chunks free, three claims in four succeed. */
-    private static final int MAX_TRIES = 6;
+    private static final int MAX_UNDER_WAY = 8;
+    /** Chunks found taken in a row after which a claim fails; with a fifth of the chunks free, that is one in ten. */
+    private static final int MAX_TAKEN = 10;
+    /** Time after which a claim that has found only taken chunks fails, where few writes are allowed. */
+    private static final long MAX_CLAIM_MS = PoolAccess.USE_MS;
     /** Part of the time of use in which further chunks are claimed under the same lease. */
-    private static final long REUSE_LEASE_MS = PoolAccess.USE_MS / 2;
+    private static final long REUSE_LEASE_MS = PoolAccess.USE_MS * 3 / 4;
     /** Time for which a chunk that another daemon holds is not tried again. */
     private static final long AVOID_TAKEN_MS = 1_000;
     /** Pause after a claim that failed, doubled with each further one, so that a drained pool costs few writes. */
@@ -53,20 +55,22 @@
     private @Nullable Lease lease;
     private long pausedUntil = Long.MIN_VALUE / 2;
     private int failures;
+    /** Chunks found taken since the last claim that succeeded or failed. */
+    private int takenInRow;
 
     private record Lease(long number, long requestedAt, Freshness use, int generation) {}
 
     private static final class Claim {
         private final RetryBudgetShare.Purpose purpose;
+        private final long beganAt;
         private final int generation;
         /** Time at which it began to wait for the store, later than now while the limit of writes delays it. */
         private long startedAt;
 
-        private int tries;
-
-        Claim(RetryBudgetShare.Purpose purpose, long startedAt, int generation) {
+        Claim(RetryBudgetShare.Purpose purpose, long beganAt, int generation) {
             this.purpose = purpose;
-            this.startedAt = startedAt;
+            this.beganAt = beganAt;
+            this.startedAt = beganAt;
             this.generation = generation;
         }
     }
@@ -174,7 +178,6 @@
             fail(claim, "all chunks are taken");
             return;
         }
-        claim.tries++;
         // Not tried by another claim of this daemon either, whatever becomes of the write.
         avoidUntil.put(number, now() + pool.leaseMillis());
         pool.store()
@@ -202,13 +205,15 @@
         } else if (outcome == Outcome.DONE) {
             underWay.remove(claim);
             failures = 0;
+            takenInRow = 0;
             pool.onClaimTook(now() - claim.startedAt);
             pool.log().onClaimed(service);
             held.add(new Chunk(
                     under.use, pool.layout().isShared(number), pool.layout().chunkSize()));
         } else if (outcome == Outcome.CONFLICT) {
             avoidUntil.put(number, now() + AVOID_TAKEN_MS);
-            if (claim.tries < MAX_TRIES) {
+            takenInRow++;
+            if (takenInRow < MAX_TAKEN && now() - claim.beganAt < MAX_CLAIM_MS) {
                 proceed(claim);
             } else {
                 fail(claim, "all chunks tried were taken");
@@ -221,6 +226,7 @@
 
     private void fail(Claim claim, String reason) {
         underWay.remove(claim);
+        takenInRow = 0;
         pool.log().onFailed(service, reason);
         if (now() >= pausedUntil) {
             long pause = Math.min(MAX_PAUSE_MS, MIN_PAUSE_MS << Math.min(failures, 4));
--- a/siskinlead-core/src/main/java/org/siskinlead/core/retrybudget/PoolLayout.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/retrybudget/PoolLayout.java
@@ -14,14 +14,15 @@
      */
     static final double PRIVATE_FRACTION = 1.0 / 12;
 
-    /** Retries of a chunk; a smaller chunk costs more writes, a larger one leaves more unused at its holder. */
-    private static final int MIN_CHUNK_SIZE = 2;
-    /** Number of chunks above which they are made larger, so that a drained pool costs a bounded number of writes. */
+    /**
+     * Number of chunks above which they hold more than one retry, so that draining a pool costs a bounded number of writes.
+     * Smaller chunks are better: of two retries, the second one often stays unused where each daemon needs few.
+     */
     private static final int MAX_CHUNKS = 400;
 
     static PoolLayout of(RetryBudgetShare.Budget budget, double usableFraction, double streamStartFraction) {
         double pooled = usableFraction * (1 - PRIVATE_FRACTION) * budget.slack();
-        int chunkSize = (int) Math.max(MIN_CHUNK_SIZE, Math.ceil(pooled / MAX_CHUNKS));
+        int chunkSize = (int) Math.max(1, Math.ceil(pooled / MAX_CHUNKS));
         int chunks = (int) (pooled / chunkSize);
         return new PoolLayout(chunkSize, chunks, (int) Math.round(streamStartFraction * chunks));
     }
--- a/siskinlead-core/src/main/java/org/siskinlead/core/retrybudget/ServiceBudget.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/retrybudget/ServiceBudget.java
@@ -72,12 +72,15 @@
                 : Math.min(privateMillis, claims.expectedMillis(chunks(pool, missing)));
     }
 
-    /** Claims as much as was used lately, so that the next retries need not wait for a claim. */
+    /**
+     * Claims about as much as was used lately, so that the next retries need not wait for a claim. A single retry tells of no
+     * further ones.
+     */
     private void claimAhead(Purpose purpose) {
         while (recentRetries.peek() < timers.nowMillis() - AHEAD_MS) {
             recentRetries.remove();
         }
-        claim(purpose, Math.min(MAX_AHEAD, recentRetries.size()) - available(purpose));
+        claim(purpose, Math.min(MAX_AHEAD, recentRetries.size() - 1) - available(purpose));
     }
 
     private void claim(Purpose purpose, int retries) {
--- a/siskinlead-core/src/main/java/org/siskinlead/core/retrybudget/WriteLimiter.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/retrybudget/WriteLimiter.java
@@ -8,10 +8,10 @@
 /** Limits the writes by which this daemon claims chunks, in any second, for all services together. */
 final class WriteLimiter {
     /**
-     * Writes per second of all daemons together, if all claim at once. The store takes 1,200; 370 daemons renew their
-     * leases with as many.
+     * Writes per second of all daemons together, if all claim at once and each renews its lease once. The store takes 1,200,
+     * which leaves room for other writes, and for 400 daemons with the least number.
      */
-    private static final int FLEET_WRITES_PER_SECOND = 700;
+    private static final int FLEET_WRITES_PER_SECOND = 1_000;
     /** Opens a lease and writes one chunk. */
     private static final int MIN_WRITES_PER_SECOND = 2;
 
@@ -50,7 +50,7 @@
     }
 
     private int limit() {
-        return Math.max(MIN_WRITES_PER_SECOND, FLEET_WRITES_PER_SECOND / daemonCount.getAsInt());
+        return Math.max(MIN_WRITES_PER_SECOND, FLEET_WRITES_PER_SECOND / daemonCount.getAsInt() - 1);
     }
 
     private void expire() {
