Forwarding: a retry without budget waits while the next one is known to come

Cause: a retry of a stream that has not begun, and of a buffered request, ended at once without budget, although its caller still waited. An error of a target that was to be replaced by a retry is delivered when the retry is not sent.

--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/BufferedCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/BufferedCall.java
@@ -284,7 +284,9 @@
         if (isDone()) {
             return;
         }
-        if (attempt == null && !sendHistory.mayHaveRun()) {
+        if (holdsAnswer) {
+            giveUp("no other target answered before the deadline");
+        } else if (attempt == null && !sendHistory.mayHaveRun()) {
             refuse(RefusalCode.OVERLOADED, "no usable target before the deadline");
         } else {
             endAtDeadline();
--- a/siskinlead-core/src/test/java/org/siskinlead/core/fakes/ForwardingTestBed.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/fakes/ForwardingTestBed.java
@@ -40,6 +40,10 @@
     private int nextRequestNumber;
 
     public ForwardingTestBed() {
+        this(new RetryBudgetShare.Budget(0.2, 40, 10_000));
+    }
+
+    public ForwardingTestBed(RetryBudgetShare.Budget budget) {
         forwarder = Forwarder.of(
                 timers,
                 timeline,
@@ -48,7 +52,7 @@
                 rateLimits,
                 freshness,
                 () -> renewalCount++,
-                RetryBudgetShare.of(new RetryBudgetShare.Budget(0.2, 40, 10_000), () -> 1, timers),
+                RetryBudgetShare.of(budget, () -> 1, timers),
                 () -> 1,
                 new Random(1));
         forwarder.setDownNoticePublisher((instanceId, fingerprints) -> published.add(instanceId));
--- a/siskinlead-core/src/test/java/org/siskinlead/core/forwarding/RequestQueueTest.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/forwarding/RequestQueueTest.java
@@ -68,7 +68,26 @@
         assertThat(ended).containsExactly("hurried sent", "patient sent").inOrder();
     }
 
+    // Guards against requests that stand behind others which only wait for the retry budget.
+    @Test
+    void servesARequestBehindManyThatAreHeldBack() {
+        for (int i = 0; i < 10; i++) {
+            queue.add(waiter("held" + i, 300, () -> false, true));
+        }
+        RequestQueue.Waiter free = waiter("free", 900, () -> true);
+
+        assertThat(queue.lengthAhead(free)).isEqualTo(0);
+        assertThat(queue.heldBackAhead(free)).isEqualTo(10);
+        queue.add(free);
+        timers.advance(10);
+        assertThat(ended).containsExactly("free sent");
+    }
+
     private RequestQueue.Waiter waiter(String name, long usefulMillis, BooleanSupplier send) {
+        return waiter(name, usefulMillis, send, false);
+    }
+
+    private RequestQueue.Waiter waiter(String name, long usefulMillis, BooleanSupplier send, boolean heldBack) {
         long latestSendAt = timers.nowMillis() + usefulMillis;
         return new RequestQueue.Waiter() {
             @Override
@@ -81,6 +100,11 @@
                 return latestSendAt;
             }
 
+            @Override
+            public boolean isHeldBack() {
+                return heldBack;
+            }
+
             @Override
             public boolean trySend() {
                 boolean sent = send.getAsBoolean();
