Gateway: test that the pool of the retry budget is connected

Cause: nothing tested that a daemon's store, counters and news of a restored store reach the retry budget. Change: one test in GatewayTest.

--- a/siskinlead-core/src/test/java/org/siskinlead/core/gateway/GatewayTest.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/gateway/GatewayTest.java
@@ -19,6 +19,7 @@
 import org.siskinlead.core.fakes.ForwardingTestBed;
 import org.siskinlead.core.fakes.ManualTimers;
 import org.siskinlead.core.fakes.RecordedReply;
+import org.siskinlead.core.forwarding.ForwardingCounters.Count;
 import org.siskinlead.core.freshness.EraGuard;
 import org.siskinlead.core.freshness.Freshness;
 import org.siskinlead.core.retrybudget.RetryBudgetShare;
@@ -110,6 +111,40 @@
         assertThat(gateways.get(1).entryAddresses()).containsExactly("vm1:1");
     }
 
+    // Guards against a pool that is not connected to the store, the counters or the news of a restored store.
+    @Test
+    void claimsRetriesFromThePoolInALargeFleetUntilTheStoreIsRestored() {
+        for (int i = 2; i < 20; i++) {
+            gateways.add(start("vm" + i));
+        }
+        for (int i = 0; i < 5; i++) {
+            timers.advance(3_000);
+            gateways.get(0).onProof(Freshness.ClockReading.now(timers));
+        }
+        failStream();
+        timers.advance(50);
+
+        assertThat(links.get(0).received).hasSize(2);
+        assertThat(gateways.get(0).forwarder().counters().get(Count.RETRY_CHUNKS_CLAIMED))
+                .isEqualTo(1);
+        assertThat(store.keys().stream().filter(key -> key.startsWith("siskinlead-retry/")))
+                .hasSize(1);
+        gateways.get(0).onStoreRestored();
+        failStream();
+        timers.advance(50);
+        assertThat(links.get(0).received).hasSize(3);
+    }
+
+    private void failStream() {
+        gateways.get(0)
+                .forwarder()
+                .onRequest(
+                        ForwardingTestBed.request(
+                                "r", "/stream/x", ForwardingTestBed.KEY, 20_000, new byte[] {1}, List.of()),
+                        new RecordedReply());
+        links.get(0).last().respond(500);
+    }
+
     @Test
     void distributesCallersWhenNotAllDaemonsCanBeListed() {
         for (int i = 2; i < 20; i++) {
