--- a/siskinlead-core/src/test/java/org/siskinlead/core/fakes/WarmingFleet.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/fakes/WarmingFleet.java
@@ -9,12 +9,12 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.siskinlead.core.forwarding.Forwarder;
-import org.siskinlead.core.forwarding.RetryBudgetShare;
 import org.siskinlead.core.freshness.Freshness;
 import org.siskinlead.core.pacing.Pacing;
 import org.siskinlead.core.ratelimit.TargetRateLimits;
 import org.siskinlead.core.registry.RegisteredTarget;
 import org.siskinlead.core.registry.TargetRegistry;
+import org.siskinlead.core.retrybudget.RetryBudgetShare;
 import org.siskinlead.core.timeline.HybridClock;
 import org.siskinlead.core.timeline.Timeline;
 
