--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/Forwarder.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/Forwarder.java
@@ -21,7 +21,6 @@
 import org.siskinlead.core.freshness.Freshness;
 import org.siskinlead.core.ratelimit.TargetRateLimits;
 import org.siskinlead.core.registry.TargetRegistry;
-import org.siskinlead.core.retry.CrashSuspects;
 import org.siskinlead.core.serving.Refusal;
 import org.siskinlead.core.serving.RefusalCode;
 import org.siskinlead.core.time.Timers;
@@ -108,30 +107,10 @@
             RetryBudgetShare.Budget budget,
             IntSupplier daemonCount,
             RandomGenerator random) {
-        ForwardingCounters counters = new ForwardingCounters();
-        StreamPace streamPace = StreamPace.of(timers);
-        TargetLink metered = MeteredTargetLink.of(link, rateLimits);
-        TargetProber prober = new TargetProber(timers, timeline, registry, metered, counters, daemonCount);
-        ForwardingContext context = new ForwardingContext(
-                timers,
-                timeline,
-                registry,
-                metered,
-                RetryBudgetShare.of(budget, daemonCount, timers),
-                CrashSuspects.of(timers),
-                new CrashWatch(timers, timeline, Long.toHexString(random.nextLong()) + "-"),
-                prober,
-                rateLimits,
-                new ResponseMemory(),
-                streamPace,
-                AnswerTimes.of(timers),
-                InterconnectShare.of(timers, daemonCount),
-                DrainPolicy.of(timers, streamPace),
-                counters,
-                random,
-                daemonCount);
+        ForwardingContext context =
+                ForwardingContext.of(timers, timeline, registry, link, rateLimits, budget, daemonCount, random);
         Forwarder forwarder = new Forwarder(timers, timeline, freshness, renewProof, context);
-        prober.setDownListener(forwarder.targetLosses::onTargetDown);
+        context.prober().setDownListener(forwarder.targetLosses::onTargetDown);
         timers.every(STALL_CHECK_INTERVAL_MS, forwarder::checkForStalls);
         return forwarder;
     }
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/ForwardingContext.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/ForwardingContext.java
@@ -26,4 +26,37 @@
         DrainPolicy drain,
         ForwardingCounters counters,
         RandomGenerator random,
-        IntSupplier daemonCount) {}
+        IntSupplier daemonCount) {
+    /** Creates the collaborators of a forwarder; no listener for targets found down is set yet. */
+    static ForwardingContext of(
+            Timers timers,
+            Timeline timeline,
+            TargetRegistry registry,
+            TargetLink link,
+            TargetRateLimits rateLimits,
+            RetryBudgetShare.Budget budget,
+            IntSupplier daemonCount,
+            RandomGenerator random) {
+        ForwardingCounters counters = new ForwardingCounters();
+        StreamPace streamPace = StreamPace.of(timers);
+        TargetLink metered = MeteredTargetLink.of(link, rateLimits);
+        return new ForwardingContext(
+                timers,
+                timeline,
+                registry,
+                metered,
+                RetryBudgetShare.of(budget, daemonCount, timers),
+                CrashSuspects.of(timers),
+                new CrashWatch(timers, timeline, Long.toHexString(random.nextLong()) + "-"),
+                new TargetProber(timers, timeline, registry, metered, counters, daemonCount),
+                rateLimits,
+                new ResponseMemory(),
+                streamPace,
+                AnswerTimes.of(timers),
+                InterconnectShare.of(timers, daemonCount),
+                DrainPolicy.of(timers, streamPace),
+                counters,
+                random,
+                daemonCount);
+    }
+}
