Admission: priority levels numbered for each service

Where the routes of a service differ in priority, the pairs of team and route priority that occur in the catalog are numbered from 0; the number orders the queue and is sent in X-Request-Priority. Elsewhere the numbers are as before.

--- a/siskinlead-core/src/main/java/org/siskinlead/core/catalog/Catalog.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/catalog/Catalog.java
@@ -16,6 +16,7 @@
     private final Map<String, List<Route>> routesByHost = new HashMap<>();
     private final Map<String, Service> services = new HashMap<>();
     private final Map<String, Team> teamsByKey = new HashMap<>();
+    private final List<Team> teams;
     private final boolean hasTeams;
     private final CallerLimits limits;
 
@@ -36,8 +37,8 @@
                         Comparator.comparingInt((Route r) -> r.prefix().length())
                                 .reversed()));
         services.forEach(s -> this.services.put(s.name(), s));
-        Collection<Team> known = teams == null ? List.of() : teams;
-        known.forEach(t -> t.keys().forEach(key -> teamsByKey.put(key, t)));
+        this.teams = teams == null ? List.of() : List.copyOf(teams);
+        this.teams.forEach(t -> t.keys().forEach(key -> teamsByKey.put(key, t)));
     }
 
     /**
@@ -91,6 +92,22 @@
         return Optional.empty();
     }
 
+    /**
+     * Lists the routes.
+     * @return all configured routes, in no particular order
+     */
+    public Collection<Route> routes() {
+        return routesByHost.values().stream().flatMap(List::stream).toList();
+    }
+
+    /**
+     * Lists the teams.
+     * @return all configured teams, none when no route requires a key
+     */
+    public Collection<Team> teams() {
+        return teams;
+    }
+
     /**
      * Finds a service by name.
      * @param name name of the service
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/Forwarder.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/Forwarder.java
@@ -11,6 +11,7 @@
 import java.util.function.IntSupplier;
 import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
+import org.siskinlead.core.admission.PriorityLevels;
 import org.siskinlead.core.catalog.Catalog;
 import org.siskinlead.core.catalog.Route;
 import org.siskinlead.core.catalog.RouteKind;
@@ -58,6 +59,7 @@
     private final List<Runnable> awaitingProof = new ArrayList<>();
     private int awaitingTrial;
     private @Nullable Catalog catalog;
+    private PriorityLevels levels = PriorityLevels.none();
     private long lastStallCheckAt;
 
     /** Notifies the other daemons of targets found down. */
@@ -178,6 +180,7 @@
             return;
         }
         catalog = newer;
+        levels = PriorityLevels.of(newer);
         timeline.record(EventKind.CONFIGURATION_IN_FORCE, "revision", newer.version());
     }
 
@@ -338,7 +341,7 @@
                 route,
                 service.get(),
                 team == null ? "" : team.name(),
-                priority(route, team),
+                levels.levelOf(serviceName, route, team),
                 receivedAt,
                 receivedAt + Math.min(timeBudgetMillis, route.timeoutMillis()),
                 receivedAt + timeBudgetMillis,
@@ -417,11 +420,6 @@
         return request.timeBudgetMillis() > 0 ? request.timeBudgetMillis() : DEFAULT_TIME_BUDGET_MS;
     }
 
-    private static int priority(Route route, @Nullable Team team) {
-        Integer teamPriority = team == null ? null : team.priority();
-        return teamPriority == null ? route.priority() : teamPriority;
-    }
-
     private void start(AdmittedRequest admitted, Reply reply, Handle handle) {
         RequestQueue queue = queues.computeIfAbsent(admitted.service().name(), s -> new RequestQueue(timers));
         Runnable onDone = () -> running.remove(handle.call);
