Admission: send window of each service and turns of teams

Cause: in a real shortage, targets refused a fifth of all sends and less urgent requests were served as often as urgent ones; a team with a third of all requests took a third of what was short. Change: after a refusal for lack of capacity (503, not run, no dead or leaving target at fault) a daemon limits the least urgent level in flight, closes less urgent ones and leaves more urgent ones alone; a limit below one is met on average. It grows while requests wait and answers report no queues. While it limits, the queue judges each level by its own rate of sends. With more than 8 daemons, teams of a level take turns (start-time fair queueing). Counters by level and team, events SEND_WINDOW_CUT and SEND_WINDOW_REMOVED. TargetResponse keeps the waiting requests of X-Server-Load. Active where a service's routes differ in priority, or above 8 daemons.

--- a/siskinlead-core/src/main/java/org/siskinlead/core/admission/PriorityLevels.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/admission/PriorityLevels.java
@@ -72,6 +72,15 @@
         return levels;
     }
 
+    /**
+     * Tells whether the routes of a service differ in priority.
+     * @param service name of the service
+     * @return true if its levels are numbered
+     */
+    public boolean differ(String service) {
+        return ranksByService.containsKey(service);
+    }
+
     /**
      * Gets the level of a request.
      * @param service name of the service that it is sent to
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/AbstractForwardedCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/AbstractForwardedCall.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.jspecify.annotations.Nullable;
+import org.siskinlead.core.admission.AdmissionCounters.Step;
 import org.siskinlead.core.crash.Suspect;
 import org.siskinlead.core.forwarding.ForwardingCounters.Count;
 import org.siskinlead.core.ratelimit.TargetRateLimits;
@@ -155,6 +156,22 @@
         return isBegun() ? BEGUN_PRIORITY : BEGUN_PRIORITY + 1 + admitted.priority();
     }
 
+    /** Gets the team whose share is used; callers that have a part of the answer go first whatever their team has used. */
+    @Override
+    public final String team() {
+        return isBegun() ? "" : admitted.team();
+    }
+
+    @Override
+    public final double tokens() {
+        return admitted.expectedTokens();
+    }
+
+    /** Tells whether the send window of the service lets this request be sent now. */
+    final boolean isAllowedByWindow() {
+        return context.admission().allows(admitted.service(), priority() - 1 - BEGUN_PRIORITY);
+    }
+
     private void endAsQueueFull() {
         if (sendHistory.mayHaveRun()) {
             giveUp("too many requests are queued for target capacity");
@@ -224,6 +241,7 @@
 
     private void recordQueued(long waitMillis) {
         context.counters().increment(Count.QUEUED);
+        context.admission().counters().increment(Step.WAITED, admitted.priority(), admitted.team());
         context.timeline()
                 .record(
                         EventKind.REQUEST_QUEUED,
@@ -232,7 +250,9 @@
                         "ahead",
                         queue.length(),
                         "atMostMs",
-                        waitMillis);
+                        waitMillis,
+                        "limitedLevel",
+                        context.admission().limitedLevel(admitted.service()));
     }
 
     final void recordMalformed(RuntimeException cause) {
@@ -387,7 +407,7 @@
 
     /** Refuses a request that no target has executed; its caller may return once all that wait now will have been sent. */
     final void refuse(RefusalCode code, String detail) {
-        refuse(code, detail, queue.expectedMillis(queue.length() + 1));
+        refuse(code, detail, queue.expectedMillisUntilSent(this));
     }
 
     /** Refuses a request that no target has run if it cannot end before this daemon stops; returns whether it did. */
@@ -411,6 +431,7 @@
                 new RetryAfter(context.random()).drawMillis(roomInMillis, admitted.remainingMillis(context.timers()));
         end(Ending.NOT_RUN, detail, code.status());
         context.counters().incrementRefusals(code);
+        context.admission().counters().increment(Step.REFUSED, admitted.priority(), admitted.team());
         reply.refuse(Refusal.notRun(code, detail, retryAfterMillis));
     }
 
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/Attempt.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/Attempt.java
@@ -1,6 +1,8 @@
 package org.siskinlead.core.forwarding;
 
 import org.jspecify.annotations.Nullable;
+import org.siskinlead.core.admission.AdmissionCounters.Step;
+import org.siskinlead.core.admission.SendWindow;
 import org.siskinlead.core.chains.Hop;
 import org.siskinlead.core.chains.HopPath;
 import org.siskinlead.core.registry.TargetHealth;
@@ -8,6 +10,10 @@
 
 /** One send of a request to a target. Holds the reserved token memory on the path until the attempt ends. */
 final class Attempt implements TargetLink.Listener {
+    private static final int SERVICE_UNAVAILABLE = 503;
+    /** Time in which a probe of a target that another one reports as faulty finds it dead. */
+    private static final long FAULT_CHECK_MS = 100;
+
     private final ForwardingContext context;
     private final AdmittedRequest admitted;
     private final TargetChooser.Choice choice;
@@ -17,6 +23,8 @@
     private boolean reserving;
     private boolean ended;
     private long sentAt;
+    private int level;
+    private @Nullable SendWindow window;
 
     /** Receives the events of an attempt until it ends or is cancelled. */
     interface Owner {
@@ -75,6 +83,12 @@
     void start(int number, long lastEventId, int priority) {
         reserveMemory();
         target().beginRequest();
+        level = priority - 1;
+        window = context.admission().windowOf(admitted.service());
+        if (window != null) {
+            window.onSent(level);
+        }
+        context.admission().counters().increment(Step.SENT, admitted.priority(), admitted.team());
         context.interconnect().onSent(admitted, choice.path());
         sentAt = context.timers().nowMillis();
         context.timeline()
@@ -123,7 +137,7 @@
 
     /** Closes the connection to the target; the owner receives no further events. */
     void cancel() {
-        if (release() && exchange != null) {
+        if (release(Completion.PARTIAL) && exchange != null) {
             exchange.cancel();
         }
     }
@@ -131,6 +145,7 @@
     @Override
     public void onHead(TargetResponse response) {
         if (!ended) {
+            reportCapacity(response);
             owner.onHead(this, response);
         }
     }
@@ -144,24 +159,61 @@
 
     @Override
     public void onEnd() {
-        if (release()) {
+        if (release(Completion.COMPLETE)) {
             owner.onEnd(this);
         }
     }
 
     @Override
     public void onFailure(LinkFailure failure) {
-        if (release()) {
+        if (release(Completion.PARTIAL)) {
             owner.onFailure(this, failure);
         }
     }
 
-    private boolean release() {
+    /** Reports to the send window whether the targets had capacity for the request. */
+    private void reportCapacity(TargetResponse response) {
+        if (response.isSuccess() && response.isAuthentic() && window != null) {
+            double waiting = response.load() < 0 ? -1 : response.waiting();
+            window.onAccepted(waiting, response.load() - waiting);
+        } else if (response.status() == SERVICE_UNAVAILABLE && response.notRun() && response.matchesRequest()) {
+            if (response.faultAddress().isEmpty()
+                    || response.faultAddress().equals(target().entry().address())) {
+                reportRefusal(response.leaving() ? null : target());
+            } else {
+                // Whether a later target of the path is dead or full is known once it has been probed.
+                context.registry()
+                        .findByAddress(response.faultAddress())
+                        .ifPresent(faulty -> context.timers().after(FAULT_CHECK_MS, () -> reportRefusal(faulty)));
+            }
+        }
+    }
+
+    private void reportRefusal(@Nullable TargetHealth refusing) {
+        if (refusing != null && refusing.isAvailable()) {
+            context.admission().counters().increment(Step.REFUSED_BY_TARGET, admitted.priority(), admitted.team());
+            if (window != null) {
+                window.onRefused(
+                        level,
+                        context.answerTimes().expectedMillis(admitted.service().name()));
+            }
+        }
+    }
+
+    private enum Completion {
+        COMPLETE,
+        PARTIAL
+    }
+
+    private boolean release(Completion completion) {
         if (ended) {
             return false;
         }
         ended = true;
         target().endRequest();
+        if (window != null) {
+            window.onEnded(level, elapsedMillis(), completion == Completion.COMPLETE);
+        }
         releaseMemory();
         return true;
     }
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/BufferedCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/BufferedCall.java
@@ -64,6 +64,9 @@
 
     @Override
     public boolean trySend() {
+        if (!isAllowedByWindow()) {
+            return false;
+        }
         Optional<TargetChooser.Choice> choice =
                 chooser.choose(admitted, sendHistory.excludedInstances(), CapacityCheck.ENFORCED);
         if (choice.isEmpty()) {
@@ -71,7 +74,7 @@
         }
         discardBody();
         head = null;
-        queue.onSent();
+        queue.onSent(this);
         sendHistory.onSent(choice.get().target());
         Attempt next = new Attempt(context, admitted, choice.get(), this);
         attempt = next;
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/Forwarder.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/Forwarder.java
@@ -11,7 +11,8 @@
 import java.util.function.IntSupplier;
 import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
-import org.siskinlead.core.admission.PriorityLevels;
+import org.siskinlead.core.admission.Admission;
+import org.siskinlead.core.admission.AdmissionCounters;
 import org.siskinlead.core.catalog.Catalog;
 import org.siskinlead.core.catalog.Route;
 import org.siskinlead.core.catalog.RouteKind;
@@ -59,7 +60,6 @@
     private final List<Runnable> awaitingProof = new ArrayList<>();
     private int awaitingTrial;
     private @Nullable Catalog catalog;
-    private PriorityLevels levels = PriorityLevels.none();
     private long lastStallCheckAt;
 
     /** Notifies the other daemons of targets found down. */
@@ -141,6 +141,14 @@
         return context.counters();
     }
 
+    /**
+     * Gets the counters by level and team.
+     * @return the counters
+     */
+    public AdmissionCounters admissionCounters() {
+        return context.admission().counters();
+    }
+
     /**
      * Gets the catalog in force.
      * @return the newest catalog, empty before the first one is loaded
@@ -180,7 +188,7 @@
             return;
         }
         catalog = newer;
-        levels = PriorityLevels.of(newer);
+        context.admission().onCatalog(newer);
         timeline.record(EventKind.CONFIGURATION_IN_FORCE, "revision", newer.version());
     }
 
@@ -341,7 +349,7 @@
                 route,
                 service.get(),
                 team == null ? "" : team.name(),
-                levels.levelOf(serviceName, route, team),
+                context.admission().levelOf(serviceName, route, team),
                 receivedAt,
                 receivedAt + Math.min(timeBudgetMillis, route.timeoutMillis()),
                 receivedAt + timeBudgetMillis,
@@ -421,7 +429,7 @@
     }
 
     private void start(AdmittedRequest admitted, Reply reply, Handle handle) {
-        RequestQueue queue = queues.computeIfAbsent(admitted.service().name(), s -> new RequestQueue(timers));
+        RequestQueue queue = queues.computeIfAbsent(admitted.service().name(), s -> newQueue(admitted.service()));
         Runnable onDone = () -> running.remove(handle.call);
         ForwardedCall call = admitted.route().kind() == RouteKind.STREAM
                 ? StreamingCall.of(context, chooser, queue, admitted, reply, onDone)
@@ -431,6 +439,11 @@
         call.begin();
     }
 
+    private RequestQueue newQueue(Service service) {
+        Admission admission = context.admission();
+        return new RequestQueue(timers, () -> admission.isLimiting(service), admission::isLargeFleet);
+    }
+
     private void refuse(IncomingRequest request, Reply reply, RefusalCode code, String detail) {
         recordRefusal(request, code, detail);
         long retryAfterMillis = RetryAfter.within(RETRY_AFTER_MS, timeBudgetMillis(request));
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/ForwardingContext.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/ForwardingContext.java
@@ -2,6 +2,7 @@
 
 import java.util.function.IntSupplier;
 import java.util.random.RandomGenerator;
+import org.siskinlead.core.admission.Admission;
 import org.siskinlead.core.ratelimit.TargetRateLimits;
 import org.siskinlead.core.registry.TargetRegistry;
 import org.siskinlead.core.retry.CrashSuspects;
@@ -24,6 +25,7 @@
         AnswerTimes answerTimes,
         InterconnectShare interconnect,
         DrainPolicy drain,
+        Admission admission,
         ForwardingCounters counters,
         RandomGenerator random,
         IntSupplier daemonCount) {
@@ -55,6 +57,7 @@
                 AnswerTimes.of(timers),
                 InterconnectShare.of(timers, daemonCount),
                 DrainPolicy.of(timers, streamPace),
+                Admission.of(timers, timeline, daemonCount, random),
                 counters,
                 random,
                 daemonCount);
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamingCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamingCall.java
@@ -70,11 +70,14 @@
         if (!started && refuseIfOutlastingDrain()) {
             return true;
         }
+        if (!isAllowedByWindow()) {
+            return false;
+        }
         Optional<TargetChooser.Choice> choice = chooseWithout(runs.silentInstance());
         if (choice.isEmpty() || !resumption.pay()) {
             return false;
         }
-        queue.onSent();
+        queue.onSent(this);
         sendHistory.onSent(choice.get().target());
         Attempt next = new Attempt(context, admitted, choice.get(), this);
         attempt = next;
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/TargetResponse.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/TargetResponse.java
@@ -11,6 +11,7 @@
  * @param matchesRequest whether the response carries the id of the request that was sent
  * @param faultAddress address of another target that this one reports as faulty, empty for none
  * @param load running and waiting requests of the target, negative when not given
+ * @param waiting waiting requests of the target, part of its load, negative when not given
  * @param leaving whether the target says that it is about to stop
  * @param requestsPerSecond rate of requests that the target takes from all daemons together, infinite when it names no
  *     limit, {@code NaN} when it names one that cannot be read
@@ -24,6 +25,7 @@
         boolean matchesRequest,
         String faultAddress,
         double load,
+        double waiting,
         boolean leaving,
         double requestsPerSecond,
         long retryAfterMillis,
@@ -37,6 +39,32 @@
     /** Statuses by which a caller knows that its request has not run and never will. */
     private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 421, 429, 503);
 
+    /** Creates the head of a response that does not tell waiting requests from running ones. */
+    public TargetResponse(
+            int status,
+            boolean notRun,
+            boolean sealed,
+            boolean matchesRequest,
+            String faultAddress,
+            double load,
+            boolean leaving,
+            double requestsPerSecond,
+            long retryAfterMillis,
+            List<HeaderField> headers) {
+        this(
+                status,
+                notRun,
+                sealed,
+                matchesRequest,
+                faultAddress,
+                load,
+                -1,
+                leaving,
+                requestsPerSecond,
+                retryAfterMillis,
+                headers);
+    }
+
     /**
      * Tells whether the status is a success.
      * @return true for 2xx
--- a/siskinlead-core/src/main/java/org/siskinlead/core/timeline/EventKind.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/timeline/EventKind.java
@@ -19,6 +19,10 @@
     /** A target named a limit on the rate of its requests, changed it or named it no more. */
     TARGET_RATE_LIMIT,
     TARGET_SLOW,
+    /** Targets refused requests for lack of capacity; a level of requests is sent in limited number from now on. */
+    SEND_WINDOW_CUT,
+    /** No target has refused requests for lack of capacity for some time; requests are not limited any more. */
+    SEND_WINDOW_REMOVED,
     /** An engine holds the layers that it was ordered to load. */
     TARGET_PLACED,
     TARGET_LEFT,
