--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/BufferedCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/BufferedCall.java
@@ -71,6 +71,9 @@
         if (isHeldBack()) {
             return endIfBudgetIsLate();
         }
+        if (!isAllowedByWindow()) {
+            return false;
+        }
         Optional<TargetChooser.Choice> choice =
                 chooser.choose(admitted, sendHistory.excludedInstances(), CapacityCheck.ENFORCED);
         if (choice.isEmpty() || !payment.pay(retryPurpose())) {
@@ -79,7 +82,7 @@
         discardBody();
         head = null;
         holdsAnswer = false;
-        queue.onSent();
+        queue.onSent(this);
         sendHistory.onSent(choice.get().target());
         Attempt next = new Attempt(context, admitted, choice.get(), this);
         attempt = next;
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/Forwarder.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/Forwarder.java
@@ -11,6 +11,8 @@
 import java.util.function.IntSupplier;
 import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
+import org.siskinlead.core.admission.Admission;
+import org.siskinlead.core.admission.AdmissionCounters;
 import org.siskinlead.core.catalog.Catalog;
 import org.siskinlead.core.catalog.Route;
 import org.siskinlead.core.catalog.RouteKind;
@@ -21,7 +23,6 @@
 import org.siskinlead.core.freshness.Freshness;
 import org.siskinlead.core.ratelimit.TargetRateLimits;
 import org.siskinlead.core.registry.TargetRegistry;
-import org.siskinlead.core.retry.CrashSuspects;
 import org.siskinlead.core.retrybudget.RetryBudgetShare;
 import org.siskinlead.core.serving.Refusal;
 import org.siskinlead.core.serving.RefusalCode;
@@ -109,31 +110,11 @@
             RetryBudgetShare retryBudget,
             IntSupplier daemonCount,
             RandomGenerator random) {
-        ForwardingCounters counters = new ForwardingCounters();
-        StreamPace streamPace = StreamPace.of(timers);
-        TargetLink metered = MeteredTargetLink.of(link, rateLimits);
-        TargetProber prober = new TargetProber(timers, timeline, registry, metered, counters, daemonCount);
-        ForwardingContext context = new ForwardingContext(
-                timers,
-                timeline,
-                registry,
-                metered,
-                retryBudget,
-                CrashSuspects.of(timers),
-                new CrashWatch(timers, timeline, Long.toHexString(random.nextLong()) + "-"),
-                prober,
-                rateLimits,
-                new ResponseMemory(),
-                streamPace,
-                AnswerTimes.of(timers),
-                InterconnectShare.of(timers, daemonCount),
-                DrainPolicy.of(timers, streamPace),
-                counters,
-                random,
-                daemonCount);
+        ForwardingContext context =
+                ForwardingContext.of(timers, timeline, registry, link, rateLimits, retryBudget, daemonCount, random);
         Forwarder forwarder = new Forwarder(timers, timeline, freshness, renewProof, context);
         registry.pacing().setUsualTimes(context.answerTimes()::expectedMillis);
-        prober.setDownListener(forwarder.targetLosses::onTargetDown);
+        context.prober().setDownListener(forwarder.targetLosses::onTargetDown);
         timers.every(STALL_CHECK_INTERVAL_MS, forwarder::checkForStalls);
         return forwarder;
     }
@@ -162,6 +143,14 @@
         return context.counters();
     }
 
+    /**
+     * Gets the counters by level and team.
+     * @return the counters
+     */
+    public AdmissionCounters admissionCounters() {
+        return context.admission().counters();
+    }
+
     /**
      * Gets the catalog in force.
      * @return the newest catalog, empty before the first one is loaded
@@ -201,6 +190,7 @@
             return;
         }
         catalog = newer;
+        context.admission().onCatalog(newer);
         timeline.record(EventKind.CONFIGURATION_IN_FORCE, "revision", newer.version());
     }
 
@@ -361,7 +351,7 @@
                 route,
                 service.get(),
                 team == null ? "" : team.name(),
-                priority(route, team),
+                context.admission().levelOf(serviceName, route, team),
                 receivedAt,
                 receivedAt + Math.min(timeBudgetMillis, route.timeoutMillis()),
                 receivedAt + timeBudgetMillis,
@@ -440,13 +430,8 @@
         return request.timeBudgetMillis() > 0 ? request.timeBudgetMillis() : DEFAULT_TIME_BUDGET_MS;
     }
 
-    private static int priority(Route route, @Nullable Team team) {
-        Integer teamPriority = team == null ? null : team.priority();
-        return teamPriority == null ? route.priority() : teamPriority;
-    }
-
     private void start(AdmittedRequest admitted, Reply reply, Handle handle) {
-        RequestQueue queue = queues.computeIfAbsent(admitted.service().name(), s -> new RequestQueue(timers));
+        RequestQueue queue = queues.computeIfAbsent(admitted.service().name(), s -> newQueue(admitted.service()));
         Runnable onDone = () -> running.remove(handle.call);
         ForwardedCall call = admitted.route().kind() == RouteKind.STREAM
                 ? StreamingCall.of(context, chooser, queue, admitted, reply, onDone)
@@ -456,6 +441,11 @@
         call.begin();
     }
 
+    private RequestQueue newQueue(Service service) {
+        Admission admission = context.admission();
+        return new RequestQueue(timers, () -> admission.isLimiting(service), admission::isLargeFleet);
+    }
+
     private void refuse(IncomingRequest request, Reply reply, RefusalCode code, String detail) {
         recordRefusal(request, code, detail);
         long retryAfterMillis = RetryAfter.within(RETRY_AFTER_MS, timeBudgetMillis(request));
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamingCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamingCall.java
@@ -72,11 +72,14 @@
         if (isHeldBack()) {
             return endIfBudgetIsLate();
         }
+        if (!isAllowedByWindow()) {
+            return false;
+        }
         Optional<TargetChooser.Choice> choice = chooseWithout(runs.silentInstance());
         if (choice.isEmpty() || !payment.pay(retryPurpose())) {
             return false;
         }
-        queue.onSent();
+        queue.onSent(this);
         sendHistory.onSent(choice.get().target());
         Attempt next = new Attempt(context, admitted, choice.get(), this);
         attempt = next;
--- a/siskinlead-core/src/main/java/org/siskinlead/core/timeline/EventKind.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/timeline/EventKind.java
@@ -25,6 +25,10 @@
     TARGET_PACE_BEGUN,
     /** The pace of a target limits this daemon no more. */
     TARGET_PACE_ENDED,
+    /** Targets refused requests for lack of capacity; a level of requests is sent in limited number from now on. */
+    SEND_WINDOW_CUT,
+    /** No target has refused requests for lack of capacity for some time; requests are not limited any more. */
+    SEND_WINDOW_REMOVED,
     /** An engine holds the layers that it was ordered to load. */
     TARGET_PLACED,
     TARGET_LEFT,
--- a/siskinlead-core/src/test/java/org/siskinlead/core/fakes/WarmingFleet.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/fakes/WarmingFleet.java
@@ -75,7 +75,7 @@
                 limits,
                 freshness,
                 () -> {},
-                budget,
+                RetryBudgetShare.of(budget, () -> roster.get().size(), timers),
                 () -> roster.get().size(),
                 choices);
         forwarder.onCatalog(ForwardingTestBed.catalog(1, Set.of(ForwardingTestBed.KEY)));
