Send window: start by a report only where a fifth as many requests wait as run

A single report of a queue above 5% started the limit in large fleets, also when only the few targets that many daemons prefer had one.

--- a/siskinlead-core/src/main/java/org/siskinlead/core/admission/SendWindow.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/admission/SendWindow.java
@@ -240,7 +240,7 @@
         boolean isReported = waiting >= 0;
         double room = isReported ? Math.max(MIN_ROOM, 1 - waiting / Math.max(1, running) / BUSY_SHARE) : 0;
         if (!isLimiting()) {
-            if (room < 0 && fewSends.getAsBoolean()) {
+            if (room <= MIN_ROOM && fewSends.getAsBoolean()) {
                 begin(lastInUse(Integer.MAX_VALUE), MAX_KEPT);
             }
             return;
