PathFinder: loads of targets behind an interface

The search computed the load of each target as own load times a scale. A plan for large fleets needs the same costs with loads that it has placed itself, so the loads are a TargetLoads now, of which LoadScale is one. TargetHealth gets capacityFraction(), 1 by default, which scales memory and batch, and failureFactor() for the choice of plain targets.

--- a/siskinlead-core/src/main/java/org/siskinlead/core/chains/LoadScale.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/chains/LoadScale.java
@@ -10,7 +10,7 @@
  * load with each answer, so a daemon that serves most callers, as after restarts, does not assume that the others are
  * as busy.
  */
-public final class LoadScale {
+public final class LoadScale implements TargetLoads {
     /** Minimum number of own requests on reporting engines for their reports to be significant. */
     private static final int MIN_OWN_REQUESTS = 4;
     /** Maximum scale, as a multiple of the number of daemons. */
@@ -66,4 +66,14 @@
     public double of(String dataCentre) {
         return byDataCentre.getOrDefault(dataCentre, defaultScale);
     }
+
+    @Override
+    public double concurrentRequests(TargetHealth target) {
+        return target.inFlight() * of(target.entry().dataCentre());
+    }
+
+    @Override
+    public double reservedTokenLayers(TargetHealth target) {
+        return target.reservedTokenLayers() * of(target.entry().dataCentre());
+    }
 }
--- a/siskinlead-core/src/main/java/org/siskinlead/core/chains/PathFinder.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/chains/PathFinder.java
@@ -31,23 +31,25 @@
     private static final double BOTTLENECK_COST_MS = 80;
     /** Estimated share of the memory of a target up to which it is assigned requests. */
     private static final double MAX_MEMORY_SHARE = 1.2;
+    /** Fraction of its capacity below which a target is not taken to be slower still; avoids a division by zero. */
+    private static final double MIN_CAPACITY = 0.01;
 
     private final EngineSpec spec;
-    private final LoadScale scale;
+    private final TargetLoads loads;
 
-    private PathFinder(EngineSpec spec, LoadScale scale) {
+    private PathFinder(EngineSpec spec, TargetLoads loads) {
         this.spec = spec;
-        this.scale = scale;
+        this.loads = loads;
     }
 
     /**
      * Creates a path finder.
      * @param spec parameters of the engines
-     * @param scale ratio of the load from all daemons to the load from this one
+     * @param loads load of each engine from all daemons
      * @return a path finder for these engines
      */
-    public static PathFinder of(EngineSpec spec, LoadScale scale) {
-        return new PathFinder(spec, scale);
+    public static PathFinder of(EngineSpec spec, TargetLoads loads) {
+        return new PathFinder(spec, loads);
     }
 
     /** Whether free memory limits the choice of targets. */
@@ -66,14 +68,7 @@
      * @return the path, empty if the permitted targets do not cover all layers
      */
     public Optional<HopPath> find(Collection<TargetHealth> targets, double tokens, MemoryCheck memoryCheck) {
-        Map<String, List<TargetHealth>> byDataCentre = new TreeMap<>();
-        for (TargetHealth target : targets) {
-            if (target.entry().layers() != null) {
-                byDataCentre
-                        .computeIfAbsent(target.entry().dataCentre(), d -> new ArrayList<>())
-                        .add(target);
-            }
-        }
+        Map<String, List<TargetHealth>> byDataCentre = byDataCentre(targets);
         HopPath best = null;
         for (List<TargetHealth> group : byDataCentre.values()) {
             HopPath path = search(group, tokens, memoryCheck);
@@ -89,6 +84,68 @@
         return Optional.ofNullable(best);
     }
 
+    /**
+     * Finds the path with the lowest cost among all targets given, without preference for one data centre.
+     * @param targets targets that may be used
+     * @param tokens expected number of tokens of the request
+     * @param memoryCheck whether the request must fit the free memory of the targets
+     * @return the path, empty if the targets do not cover all layers
+     */
+    public Optional<HopPath> findAmong(List<TargetHealth> targets, double tokens, MemoryCheck memoryCheck) {
+        return Optional.ofNullable(search(targets, tokens, memoryCheck));
+    }
+
+    /**
+     * Groups the targets that hold layers.
+     * @param targets targets of any data centre
+     * @return targets by data centre
+     */
+    public static Map<String, List<TargetHealth>> byDataCentre(Collection<TargetHealth> targets) {
+        Map<String, List<TargetHealth>> byDataCentre = new TreeMap<>();
+        for (TargetHealth target : targets) {
+            if (target.entry().layers() != null) {
+                byDataCentre
+                        .computeIfAbsent(target.entry().dataCentre(), d -> new ArrayList<>())
+                        .add(target);
+            }
+        }
+        return byDataCentre;
+    }
+
+    /**
+     * Computes the time of a decode step over a path at the estimated loads.
+     * @param path the path
+     * @return time in milliseconds, with the fixed costs of hops and without those of filled memory
+     */
+    public double stepMillis(HopPath path) {
+        double millis = 0;
+        for (Hop hop : path.hops()) {
+            AcceleratorKind kind = spec.kinds().get(hop.target().entry().accelerator());
+            if (kind != null) {
+                millis += HOP_COST_MS + (double) hop.layerCount() / spec.layers() * stepMillis(hop.target(), kind);
+            }
+        }
+        return millis;
+    }
+
+    /**
+     * Computes how many requests more fit on every target of a path.
+     * @param path the path
+     * @param tokens expected number of tokens of each request
+     * @return number of requests that the memory of the targets takes, at least 0
+     */
+    public double requestsThatFit(HopPath path, double tokens) {
+        double fitting = Double.MAX_VALUE;
+        for (Hop hop : path.hops()) {
+            AcceleratorKind kind = spec.kinds().get(hop.target().entry().accelerator());
+            double free = kind == null
+                    ? 0
+                    : MAX_MEMORY_SHARE * capacity(hop.target(), kind) - loads.reservedTokenLayers(hop.target());
+            fitting = Math.min(fitting, free / (tokens * hop.layerCount()));
+        }
+        return Math.max(0, fitting);
+    }
+
     /** Path with the lowest cost that runs all layers below some layer and ends in a data centre. */
     private record PartialPath(
             @Nullable PartialPath previous, @Nullable Hop hop, double cost, int hops) {}
@@ -141,9 +198,7 @@
             if (memoryShare > MAX_MEMORY_SHARE) {
                 continue;
             }
-            double costPerShare =
-                    spec.stepMillis() * kind.stepTimeFactor() * target.slowdown() * batchTimeFactor(target)
-                            + FULL_MEMORY_COST_MS * memoryShare * memoryShare;
+            double costPerShare = stepMillis(target, kind) + FULL_MEMORY_COST_MS * memoryShare * memoryShare;
             Integer known = dataCentres.putIfAbsent(entry.dataCentre(), dataCentres.size());
             int dataCentre = known == null ? dataCentres.size() - 1 : known;
             candidates.add(new Candidate(target, held.from(), held.to(), dataCentre, costPerShare));
@@ -163,7 +218,10 @@
             return;
         }
         for (Candidate candidate : candidates) {
-            if (candidate.from() > layer || candidate.to() <= layer || contains(partial, candidate.target())) {
+            if (candidate.from() > layer
+                    || candidate.to() <= layer
+                    || contains(partial, candidate.target())
+                    || (layer == 0 && !loads.hasFreeSlot(candidate.target()))) {
                 continue;
             }
             boolean crosses = dataCentre >= 0 && dataCentre != candidate.dataCentre();
@@ -182,20 +240,28 @@
         }
     }
 
-    /** Computes the factor by which concurrent requests lengthen a decode step. */
-    private double batchTimeFactor(TargetHealth target) {
-        double concurrent = target.inFlight() * scale.of(target.entry().dataCentre());
-        return 1 + concurrent * spec.perSequenceMillis() / spec.stepMillis();
+    /** Computes the duration of a decode step of all layers, which concurrent requests lengthen. */
+    private double stepMillis(TargetHealth target, AcceleratorKind kind) {
+        double batch = loads.concurrentRequests(target) / Math.max(MIN_CAPACITY, target.capacityFraction());
+        double batchTimeFactor = 1 + batch * spec.perSequenceMillis() / spec.stepMillis();
+        return spec.stepMillis() * kind.stepTimeFactor() * target.slowdown() * batchTimeFactor;
     }
 
     private double memoryShare(TargetHealth target, AcceleratorKind kind, double tokens) {
         LayerRange held = target.entry().layers();
         int layers = held == null ? 0 : held.to() - held.from();
-        double capacity = spec.tokenLayerCapacity(kind, layers);
-        double required = target.reservedTokenLayers() * scale.of(target.entry().dataCentre()) + tokens * layers;
+        double capacity = capacity(target, kind);
+        double required = loads.reservedTokenLayers(target) + tokens * layers;
         return capacity <= 0 ? Double.MAX_VALUE : required / capacity;
     }
 
+    /** Computes the memory that requests may fill, in tokens times layers. */
+    private double capacity(TargetHealth target, AcceleratorKind kind) {
+        LayerRange held = target.entry().layers();
+        int layers = held == null ? 0 : held.to() - held.from();
+        return spec.tokenLayerCapacity(kind, layers) * target.capacityFraction();
+    }
+
     private static boolean contains(PartialPath partial, TargetHealth target) {
         for (PartialPath current = partial; current != null; current = current.previous()) {
             if (current.hop() != null && current.hop().target() == target) {
--- a/siskinlead-core/src/main/java/org/siskinlead/core/registry/TargetHealth.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/registry/TargetHealth.java
@@ -168,7 +168,7 @@
     public double cost() {
         double reported = hasReportedLoad() ? reportedLoad : 0;
         double requestsPerSlot = Math.max(inFlight, reported) / Math.max(1, entry.slots());
-        return latencyMillis * (1 + inFlight + requestsPerSlot) * (1 + FAILURE_PENALTY * failureRate);
+        return latencyMillis * (1 + inFlight + requestsPerSlot) * failureFactor();
     }
 
     /**
@@ -179,6 +179,22 @@
         return timers.nowMillis() - slowdownReportedAt < SLOWDOWN_VALID_MS ? Math.max(1, slowdown) : 1;
     }
 
+    /**
+     * Computes by how much failures raise the cost of the target.
+     * @return factor, 1 without failures
+     */
+    public double failureFactor() {
+        return 1 + FAILURE_PENALTY * failureRate;
+    }
+
+    /**
+     * Gets the part of the target's capacity that may be used now.
+     * @return fraction between 0 and 1
+     */
+    public double capacityFraction() {
+        return 1;
+    }
+
     // Commands
 
     /**
