Balancing: paths drawn by shares of the load of all daemons

Cause: with many daemons, each knows a few requests of its own and multiplies them by the number of daemons, so all choose the same cheapest paths, and one own request makes a target look full.

Change: with more than 8 daemons, TargetChooser draws a path from a plan that places the estimated load of the fleet in 32 steps, each on the path that is cheapest with the steps before. A second path is drawn when the first target of the drawn one is over its planned load. Load that fits nowhere waits. Plain targets are drawn by free slots, the cheaper of two. Up to 8 daemons nothing changes.

--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/ForwardingCounters.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/ForwardingCounters.java
@@ -31,7 +31,13 @@
         CALLER_LEFT,
         QUEUED,
         PROBES,
-        TARGETS_FOUND_DOWN
+        TARGETS_FOUND_DOWN,
+        /** Plans of paths computed. */
+        PATH_PLANS,
+        /** Paths drawn from a plan. */
+        PATHS_DRAWN,
+        /** Paths searched for because no drawn one was permitted. */
+        PATHS_SEARCHED
     }
 
     /** Measured latencies, in milliseconds. */
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/TargetChooser.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/TargetChooser.java
@@ -1,16 +1,25 @@
 package org.siskinlead.core.forwarding;
 
-import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Function;
 import java.util.function.Predicate;
 import org.jspecify.annotations.Nullable;
+import org.siskinlead.core.balancing.FreeSlots;
+import org.siskinlead.core.balancing.OwnLoads;
+import org.siskinlead.core.balancing.PathShares;
 import org.siskinlead.core.catalog.EngineSpec;
+import org.siskinlead.core.chains.Hop;
 import org.siskinlead.core.chains.HopPath;
 import org.siskinlead.core.chains.LoadScale;
 import org.siskinlead.core.chains.PathFinder;
 import org.siskinlead.core.chains.PathFinder.MemoryCheck;
+import org.siskinlead.core.chains.TargetLoads;
+import org.siskinlead.core.forwarding.ForwardingCounters.Count;
 import org.siskinlead.core.ratelimit.TargetRateLimits;
 import org.siskinlead.core.registry.TargetHealth;
 import org.siskinlead.core.routing.LayerRange;
@@ -33,7 +42,11 @@
     /** Age up to which a limit binds the use of an engine behind the first one, whose answers are not seen. */
     private static final long INNER_LIMIT_VALID_MS = 30_000;
 
+    /** Number of daemons up to which own requests show the load of targets. */
+    private static final int MAX_DAEMONS_OF_SMALL_FLEET = 8;
+
     private final ForwardingContext context;
+    private final Map<String, PathShares> sharesByService = new HashMap<>();
 
     TargetChooser(ForwardingContext context) {
         this.context = context;
@@ -67,20 +80,91 @@
      */
     Optional<Choice> choose(
             AdmittedRequest request, Set<String> excludedInstances, Predicate<String> mayAnswer, CapacityCheck check) {
-        List<TargetHealth> usable = new ArrayList<>();
-        for (TargetHealth target : context.registry().of(request.service().name())) {
-            String instanceId = target.entry().instanceId();
-            if (target.isUsable()
-                    && !excludedInstances.contains(instanceId)
-                    && (!canBeFirst(request, target) || mayAnswer.test(instanceId))
-                    && (check == CapacityCheck.SKIPPED || limitLeavesRoom(request, target))) {
-                usable.add(target);
-            }
+        List<TargetHealth> registered = context.registry().of(request.service().name());
+        Predicate<TargetHealth> permitted = target -> target.isUsable()
+                && !excludedInstances.contains(target.entry().instanceId())
+                && (!canBeFirst(request, target)
+                        || mayAnswer.test(target.entry().instanceId()))
+                && (check == CapacityCheck.SKIPPED || limitLeavesRoom(request, target));
+        if (check == CapacityCheck.ENFORCED && isLargeFleet()) {
+            return chooseByShares(request, registered, permitted);
         }
+        List<TargetHealth> usable = registered.stream().filter(permitted).toList();
         Optional<Choice> best = cheapest(request, usable, check);
         return check == CapacityCheck.SKIPPED
                 ? best
-                : askForLimit(request, usable, best).filter(choice -> interconnectHasRoom(request, choice));
+                : askForLimit(request, usable, best, u -> cheapest(request, u, CapacityCheck.ENFORCED))
+                        .filter(choice -> interconnectHasRoom(request, choice));
+    }
+
+    private boolean isLargeFleet() {
+        return context.daemonCount().getAsInt() > MAX_DAEMONS_OF_SMALL_FLEET;
+    }
+
+    /** Chooses as if all daemons did so by the same shares, since own requests say little about the load of targets. */
+    private Optional<Choice> chooseByShares(
+            AdmittedRequest request, List<TargetHealth> registered, Predicate<TargetHealth> permitted) {
+        EngineSpec engine = request.service().engine();
+        if (engine == null) {
+            List<TargetHealth> usable = registered.stream().filter(permitted).toList();
+            Optional<Choice> drawn = FreeSlots.draw(usable, context.random()).map(t -> new Choice(t, null));
+            return askForLimit(
+                    request,
+                    usable,
+                    drawn,
+                    u -> FreeSlots.draw(u, context.random()).map(t -> new Choice(t, null)));
+        }
+        PathShares shares = sharesByService.computeIfAbsent(request.service().name(), s -> newShares());
+        shares.update(engine, registered, request.expectedTokens());
+        if (!shares.hasRoom()) {
+            return Optional.empty();
+        }
+        if (registered.stream().anyMatch(t -> isLimitStale(request, t) && permitted.test(t))) {
+            List<TargetHealth> usable = registered.stream().filter(permitted).toList();
+            Optional<Choice> best = search(request, usable, shares.loads());
+            Optional<Choice> asked = askForLimit(request, usable, best, u -> search(request, u, shares.loads()));
+            if (!asked.equals(best)) {
+                return asked.filter(choice -> interconnectHasRoom(request, choice));
+            }
+        }
+        Optional<Choice> drawn = shares.draw(request.expectedTokens(), path -> isPermitted(request, path, permitted))
+                .map(path -> new Choice(path.first().target(), path));
+        if (drawn.isPresent()) {
+            context.counters().increment(Count.PATHS_DRAWN);
+            return drawn;
+        }
+        context.counters().increment(Count.PATHS_SEARCHED);
+        List<TargetHealth> usable = registered.stream().filter(permitted).toList();
+        return search(request, usable, shares.loads())
+                .or(() -> search(request, usable, OwnLoads.INSTANCE))
+                .filter(choice -> interconnectHasRoom(request, choice));
+    }
+
+    private PathShares newShares() {
+        return PathShares.of(
+                context.timers(),
+                context.daemonCount(),
+                context.random(),
+                () -> context.counters().increment(Count.PATH_PLANS));
+    }
+
+    /** Tells whether a path may be used; targets registered again since the plan are other instances. */
+    private boolean isPermitted(AdmittedRequest request, HopPath path, Predicate<TargetHealth> permitted) {
+        for (Hop hop : path.hops()) {
+            TargetHealth target = hop.target();
+            if (!permitted.test(target)
+                    || context.registry().find(target.entry().id()).orElse(null) != target) {
+                return false;
+            }
+        }
+        return context.interconnect().hasRoom(request, path);
+    }
+
+    private Optional<Choice> search(AdmittedRequest request, List<TargetHealth> usable, TargetLoads loads) {
+        EngineSpec engine = Objects.requireNonNull(request.service().engine());
+        return PathFinder.of(engine, loads)
+                .find(usable, request.expectedTokens(), MemoryCheck.ENFORCED)
+                .map(path -> new Choice(path.first().target(), path));
     }
 
     private boolean interconnectHasRoom(AdmittedRequest request, Choice choice) {
@@ -92,11 +176,13 @@
      * Chooses a target whose limit was named long ago, so that its next answer tells whether it still has one, unless
      * that costs the request much more than the best choice.
      */
-    private Optional<Choice> askForLimit(AdmittedRequest request, List<TargetHealth> usable, Optional<Choice> best) {
-        List<TargetHealth> stale = usable.stream()
-                .filter(t -> canBeFirst(request, t)
-                        && context.rateLimits().ageMillis(t.entry().instanceId()) > ASK_FOR_LIMIT_AFTER_MS)
-                .toList();
+    private Optional<Choice> askForLimit(
+            AdmittedRequest request,
+            List<TargetHealth> usable,
+            Optional<Choice> best,
+            Function<List<TargetHealth>, Optional<Choice>> chooseAmong) {
+        List<TargetHealth> stale =
+                usable.stream().filter(t -> isLimitStale(request, t)).toList();
         if (stale.isEmpty()) {
             return best;
         }
@@ -104,12 +190,18 @@
         List<TargetHealth> startingThere = usable.stream()
                 .filter(t -> t == target || !canBeFirst(request, t))
                 .toList();
-        return cheapest(request, startingThere, CapacityCheck.ENFORCED)
+        return chooseAmong
+                .apply(startingThere)
                 .filter(asked -> best.isEmpty()
                         || asked.cost() <= MAX_ASK_COST * best.get().cost())
                 .or(() -> best);
     }
 
+    private boolean isLimitStale(AdmittedRequest request, TargetHealth target) {
+        return canBeFirst(request, target)
+                && context.rateLimits().ageMillis(target.entry().instanceId()) > ASK_FOR_LIMIT_AFTER_MS;
+    }
+
     private Optional<Choice> cheapest(AdmittedRequest request, List<TargetHealth> usable, CapacityCheck check) {
         EngineSpec engine = request.service().engine();
         if (engine == null) {
