--- a/siskinlead-core/src/main/java/org/siskinlead/core/registry/TargetHealth.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/registry/TargetHealth.java
@@ -190,17 +190,16 @@
     public double cost() {
         double reported = hasReportedLoad() ? reportedLoad : 0;
         double requestsPerSlot = Math.max(inFlight, reported) / Math.max(1, entry.slots());
-        return expectedLatencyMillis()
-                * (1 + inFlight + requestsPerSlot)
-                * (1 + FAILURE_PENALTY * failureRate * weightOfSlowness(failedAt));
+        return expectedLatencyMillis() * (1 + inFlight + requestsPerSlot) * failureFactor();
     }
 
     /**
      * Computes the time to an answer that is expected now. A daemon of a large fleet expects the mean of the service from
      * a target that it does not know, and forgets slow answers of one that may still have been warming up: it would
      * otherwise avoid the target, and so get no answer that shows the change.
+     * @return milliseconds
      */
-    private double expectedLatencyMillis() {
+    public double expectedLatencyMillis() {
         if (!pacing.isActive()) {
             return latencyMillis;
         }
@@ -235,6 +234,14 @@
         return pace.admits(hopsInFlight);
     }
 
+    /**
+     * Computes by how much failures raise the cost of the target.
+     * @return factor, 1 without failures
+     */
+    public double failureFactor() {
+        return 1 + FAILURE_PENALTY * failureRate * weightOfSlowness(failedAt);
+    }
+
     /** Tells whether this target has started or recovered, and its pace has not ended. */
     boolean isPaced() {
         return pace.isLimiting();
