HTTP server: bound what is held and decoded for connections of untrusted clients

Cause: all pipelined requests that had arrived were decoded into objects before the first was answered; header lines cost about 300 bytes of objects each and were not counted; a connection was read up to 16 times 64 KB in one turn of the network thread, and the operating system held several MB for each; connections and unread responses were not bounded.

Change: - RequestDecoder decodes one request at a time; InputGate stops reading during an answer from 4 KB of undecoded bytes on. - CountedHeaders charges each header line to RequestMemory at the cost of its objects, and refuses a line too many before it is stored (431, or 503 not run). Trailers are not stored. - FairReads: one read of at most 16 KB in a turn, 1 KB while the input is expensive to decode; receive buffer of 64 KB. - ConnectionBytes (was ReceivedBytes) bounds undecoded and unsent bytes of all connections; UnsentBytes closes a connection whose peer reads nothing for the idle timeout; OpenConnections bounds connections and closes idle ones first. - Line ends count as 3 bytes of a header line (were 4 with a space), so that 4,000 lines fit in 16,384 bytes. - Counters of refused requests and closed connections in the metrics.

--- a/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/HttpServer.java
+++ b/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/HttpServer.java
@@ -8,8 +8,6 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpServerCodec;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -20,9 +18,9 @@
 
 /** HTTP/1.1 server that hands each request to a handler as an {@link HttpExchange}. */
 public final class HttpServer implements AutoCloseable {
-    private static final int MAX_LINE_BYTES = 8_192;
+    static final int MAX_LINE_BYTES = 8_192;
     /** Largest header section that is decoded, so that a limit that is raised also holds for open connections. */
-    private static final int MAX_HEADER_BYTES = 65_536;
+    static final int MAX_HEADER_BYTES = 65_536;
 
     private static final int BACKLOG = 1_024;
     private static final int MAX_PIPELINED_REQUESTS = 8;
@@ -60,7 +58,7 @@
     public static HttpServer start(
             InetSocketAddress address, EventLoopGroup group, HttpLimits limits, ExchangeHandler handler)
             throws InterruptedException {
-        return start(address, group, () -> limits, RequestMemory.ofHeap(), handler);
+        return start(address, group, () -> limits, ServerResources.ofProcess(), handler);
     }
 
     /**
@@ -68,7 +66,7 @@
      * @param address IP address and port to listen on
      * @param group network threads
      * @param limits supplies the limits in force, which hold for the next request of each connection
-     * @param memory memory for the bodies of requests, which servers of a process may share
+     * @param resources what connections may use, which servers of a process may share
      * @param handler called for each request, on a network thread
      * @return the server, which accepts connections
      * @throws InterruptedException if interrupted before the server listens
@@ -77,7 +75,7 @@
             InetSocketAddress address,
             EventLoopGroup group,
             Supplier<HttpLimits> limits,
-            RequestMemory memory,
+            ServerResources resources,
             ExchangeHandler handler)
             throws InterruptedException {
         ConnectionCounts counts = new ConnectionCounts();
@@ -86,11 +84,13 @@
                 .channelFactory(ListeningChannel::new)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
+                .option(ChannelOption.SO_RCVBUF, FairReads.RECEIVE_BUFFER_BYTES)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, FairReads.create())
                 .childOption(
                         ChannelOption.WRITE_BUFFER_WATER_MARK,
                         new WriteBufferWaterMark(MAX_UNSENT_BYTES / 2, MAX_UNSENT_BYTES))
-                .childHandler(new PipelineInitializer(limits, memory, handler, counts))
+                .childHandler(new PipelineInitializer(limits, resources, handler, counts))
                 .bind(address)
                 .sync()
                 .channel();
@@ -158,30 +158,35 @@
 
     private static final class PipelineInitializer extends ChannelInitializer<SocketChannel> {
         private final Supplier<HttpLimits> limits;
-        private final RequestMemory memory;
+        private final ServerResources resources;
         private final ExchangeHandler handler;
         private final ConnectionCounts counts;
 
         PipelineInitializer(
-                Supplier<HttpLimits> limits, RequestMemory memory, ExchangeHandler handler, ConnectionCounts counts) {
+                Supplier<HttpLimits> limits,
+                ServerResources resources,
+                ExchangeHandler handler,
+                ConnectionCounts counts) {
             this.limits = limits;
-            this.memory = memory;
+            this.resources = resources;
             this.handler = handler;
             this.counts = counts;
         }
 
         @Override
         protected void initChannel(SocketChannel socket) {
-            HttpDecoderConfig config = new HttpDecoderConfig()
-                    .setMaxInitialLineLength(MAX_LINE_BYTES)
-                    .setMaxHeaderSize(Math.max(MAX_HEADER_BYTES, limits.get().maxHeaderBytes()));
-            ConnectionTimeouts timeouts = new ConnectionTimeouts(limits, counts);
+            ConnectionTimeouts timeouts = new ConnectionTimeouts(limits, counts, resources);
+            RequestDecoder decoder = RequestDecoder.of(limits, resources.requests(), timeouts::isAnswering);
+            InputGate gate = InputGate.of(decoder, resources.undecoded());
             socket.pipeline()
+                    .addLast(UnsentBytes.of(limits, resources))
                     .addLast(timeouts.beforeCodec())
-                    .addLast(new HttpServerCodec(config))
-                    .addLast(timeouts.afterCodec())
-                    .addLast(new RequestAssembler(limits, memory))
-                    .addLast(new Dispatcher(handler, timeouts));
+                    .addLast(gate)
+                    .addLast(decoder)
+                    .addLast(ResponseEncoder.of(decoder))
+                    .addLast(timeouts.afterCodec(decoder))
+                    .addLast(new RequestAssembler(limits, resources.requests()))
+                    .addLast(new Dispatcher(handler, timeouts, gate, resources.counters()));
         }
     }
 
@@ -189,12 +194,16 @@
     private static final class Dispatcher extends SimpleChannelInboundHandler<ReceivedRequest> {
         private final ExchangeHandler handler;
         private final ConnectionTimeouts timeouts;
+        private final InputGate gate;
+        private final ServerCounters counters;
         private final Deque<HttpExchange> pipelined = new ArrayDeque<>();
         private @Nullable HttpExchange current;
 
-        Dispatcher(ExchangeHandler handler, ConnectionTimeouts timeouts) {
+        Dispatcher(ExchangeHandler handler, ConnectionTimeouts timeouts, InputGate gate, ServerCounters counters) {
             this.handler = handler;
             this.timeouts = timeouts;
+            this.gate = gate;
+            this.counters = counters;
         }
 
         @Override
@@ -214,13 +223,14 @@
             current = null;
             timeouts.onResponded(context);
             handleNext();
+            gate.onResponded();
         }
 
         private void handleNext() {
             if (current == null && !pipelined.isEmpty()) {
                 HttpExchange next = pipelined.remove();
                 current = next;
-                if (!next.refuseUnread()) {
+                if (!next.refuseUnread(counters)) {
                     handler.handle(next);
                 }
             }
--- /dev/null
+++ b/siskinlead-protocol/src/test/java/org/siskinlead/protocol/http/UntrustedInputTest.java
@@ -0,0 +1,144 @@
+package org.siskinlead.protocol.http;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Test;
+import org.siskinlead.protocol.http.ReceivedRequest.Refusal;
+
+/** Tests what a server holds for connections whose input costs much more than its bytes. */
+class UntrustedInputTest {
+    private static final HttpLimits LIMITS = new HttpLimits(400_000, 16_384, 30);
+    private static final int LINES = 4_000;
+    private static final String HEAD = "GET /x HTTP/1.1\r\n" + "a:\r\n".repeat(LINES) + "\r\n";
+
+    private final RequestMemory memory = RequestMemory.of(3_000_000);
+    private boolean answering;
+
+    // Guards against pipelined requests that are all decoded into objects before the first is answered.
+    @Test
+    void decodesOneRequestAtATime() {
+        RequestDecoder decoder = decoder();
+        EmbeddedChannel connection = connect(decoder);
+        answering = true;
+        send(connection, "GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+
+        assertThat((Object) connection.readInbound()).isNull();
+
+        answering = false;
+        decoder.resume();
+
+        assertThat(connection.<ReceivedRequest>readInbound().head().uri()).isEqualTo("/1");
+    }
+
+    // Guards against counting short header lines by their bytes, which are a fraction of the cost of their objects.
+    @Test
+    void chargesHeaderLinesAtTheCostOfTheirObjects() {
+        EmbeddedChannel connection = connect(decoder());
+        send(connection, HEAD);
+        ReceivedRequest request = connection.readInbound();
+
+        assertThat(request.refusal()).isEqualTo(Refusal.NONE);
+        assertThat(memory.usedBytes()).isAtLeast((long) LINES * CountedHeaders.LINE_HEAP_BYTES);
+
+        request.body().release();
+
+        assertThat(memory.usedBytes()).isEqualTo(0);
+    }
+
+    @Test
+    void refusesAHeaderSectionThatDoesNotFitBesideOthersAsNotRun() {
+        EmbeddedChannel first = connect(decoder());
+        send(first, HEAD);
+        EmbeddedChannel second = connect(decoder());
+        send(second, HEAD);
+        ReceivedRequest refused = second.readInbound();
+
+        assertThat(refused.refusal()).isEqualTo(Refusal.NO_MEMORY);
+        assertThat(refused.refusalStatus()).isEqualTo(503);
+        assertThat(refused.head().headers().isEmpty()).isTrue();
+    }
+
+    @Test
+    void returnsTheMemoryOfAHeaderSectionThatBreaksOff() {
+        EmbeddedChannel connection = connect(decoder());
+        send(connection, HEAD.substring(0, 5_000));
+
+        assertThat(memory.usedBytes()).isGreaterThan(0L);
+
+        connection.close();
+        connection.<ReceivedRequest>readInbound().body().release();
+
+        assertThat(memory.usedBytes()).isEqualTo(0);
+    }
+
+    // Guards against storing a header section up to the limit of the codec before it is refused.
+    @Test
+    void refusesAHeaderSectionAtItsLimit() {
+        EmbeddedChannel connection = connect(decoder());
+        send(connection, "GET /x HTTP/1.1\r\n" + "a:b\r\n".repeat(LINES));
+        ReceivedRequest refused = connection.readInbound();
+
+        assertThat(refused.refusalStatus()).isEqualTo(431);
+        assertThat(refused.head().headers().isEmpty()).isTrue();
+    }
+
+    // Guards against idle connections that use up the descriptors.
+    @Test
+    void closesTheConnectionThatIsIdleForLongestToAdmitAnother() {
+        OpenConnections connections = OpenConnections.of(3);
+        Channel first = new EmbeddedChannel();
+        Channel answered = new EmbeddedChannel();
+        Channel arriving = new EmbeddedChannel();
+        connections.admit(answered);
+        connections.onAnswering(answered);
+        connections.admit(arriving);
+        connections.onArriving(arriving);
+        connections.admit(first);
+
+        assertThat(connections.admit(new EmbeddedChannel())).isSameInstanceAs(first);
+        assertThat(connections.count()).isEqualTo(3);
+    }
+
+    @Test
+    void closesTheConnectionThatHoldsMostWhenAllHoldTooMuch() {
+        ConnectionBytes bytes = ConnectionBytes.of(100);
+        EmbeddedChannel small = new EmbeddedChannel();
+        EmbeddedChannel large = new EmbeddedChannel();
+        bytes.set(large, 90);
+        bytes.set(small, 20);
+        large.runPendingTasks();
+
+        assertThat(large.isOpen()).isFalse();
+        assertThat(small.isOpen()).isTrue();
+        assertThat(bytes.totalBytes()).isEqualTo(20);
+    }
+
+    // Guards against one connection whose tiny chunks keep all others waiting.
+    @Test
+    void readsLittleAtOnceOfInputThatIsExpensiveToDecode() {
+        EmbeddedChannel connection = new EmbeddedChannel();
+        connection.config().setRecvByteBufAllocator(FairReads.create());
+        connection.unsafe().recvBufAllocHandle().lastBytesRead(1 << 20);
+        int cheap = connection.unsafe().recvBufAllocHandle().guess();
+        FairReads.onDecoded(connection, 1_000, 6_000);
+
+        assertThat(connection.unsafe().recvBufAllocHandle().guess()).isEqualTo(FairReads.EXPENSIVE_READ_BYTES);
+        assertThat(cheap).isGreaterThan(FairReads.EXPENSIVE_READ_BYTES);
+    }
+
+    private RequestDecoder decoder() {
+        return RequestDecoder.of(() -> LIMITS, memory, () -> answering);
+    }
+
+    private EmbeddedChannel connect(RequestDecoder decoder) {
+        return new EmbeddedChannel(decoder, new RequestAssembler(() -> LIMITS, memory));
+    }
+
+    private static void send(EmbeddedChannel connection, String text) {
+        connection.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
+    }
+}
