HTTP server: do not take chunks that wait for the network thread for unread ones

Cause: UnsentBytes closed a connection at its first check when chunks handed over by another thread were pending, because its time of the last progress was still unset.

Change: the time counts from the begin of the watch; nothing flushed, or a changed amount, counts as progress. The queue of pipelined requests is removed, since the decoder passes on one at a time.

--- a/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/HttpServer.java
+++ b/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/HttpServer.java
@@ -9,8 +9,6 @@
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.SocketChannel;
 import java.net.InetSocketAddress;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -23,7 +21,6 @@
     static final int MAX_HEADER_BYTES = 65_536;
 
     private static final int BACKLOG = 1_024;
-    private static final int MAX_PIPELINED_REQUESTS = 8;
     /** High-water mark of unsent bytes: above it {@link HttpExchange#isReaderSlow} is true, until half are left. */
     private static final int MAX_UNSENT_BYTES = 1_048_576;
 
@@ -190,13 +187,12 @@
         }
     }
 
-    /** Handles pipelined requests one at a time; closes the connection when more than the maximum are waiting. */
+    /** Handles requests. The decoder passes on the next one of a connection only after the response to the last one. */
     private static final class Dispatcher extends SimpleChannelInboundHandler<ReceivedRequest> {
         private final ExchangeHandler handler;
         private final ConnectionTimeouts timeouts;
         private final InputGate gate;
         private final ServerCounters counters;
-        private final Deque<HttpExchange> pipelined = new ArrayDeque<>();
         private @Nullable HttpExchange current;
 
         Dispatcher(ExchangeHandler handler, ConnectionTimeouts timeouts, InputGate gate, ServerCounters counters) {
@@ -210,39 +206,23 @@
         protected void channelRead0(ChannelHandlerContext context, ReceivedRequest request) {
             HttpExchange exchange = new HttpExchange(
                     context.channel(), request, () -> context.executor().execute(() -> onResponded(context)));
-            if (pipelined.size() >= MAX_PIPELINED_REQUESTS) {
-                exchange.connectionClosed();
-                context.close();
-            } else {
-                pipelined.add(exchange);
-                handleNext();
+            current = exchange;
+            if (!exchange.refuseUnread(counters)) {
+                handler.handle(exchange);
             }
         }
 
         private void onResponded(ChannelHandlerContext context) {
             current = null;
             timeouts.onResponded(context);
-            handleNext();
             gate.onResponded();
         }
 
-        private void handleNext() {
-            if (current == null && !pipelined.isEmpty()) {
-                HttpExchange next = pipelined.remove();
-                current = next;
-                if (!next.refuseUnread(counters)) {
-                    handler.handle(next);
-                }
-            }
-        }
-
         @Override
         public void channelInactive(ChannelHandlerContext context) {
             if (current != null) {
                 current.connectionClosed();
             }
-            pipelined.forEach(HttpExchange::connectionClosed);
-            pipelined.clear();
         }
 
         @Override
--- a/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/UnsentBytes.java
+++ b/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/UnsentBytes.java
@@ -19,6 +19,7 @@
     private boolean watching;
     private @Nullable Object lastMessage;
     private long lastProgress;
+    private long lastPending;
     private long lastProgressAtNanos;
 
     private UnsentBytes(Supplier<HttpLimits> limits, ServerResources resources) {
@@ -43,6 +44,7 @@
         } else if (pendingBytes(context) > 0) {
             watching = true;
             lastMessage = null;
+            lastProgressAtNanos = System.nanoTime();
             check(context);
         }
     }
@@ -57,7 +59,13 @@
             return;
         }
         long now = System.nanoTime();
-        if (buffer.current() != lastMessage || buffer.currentProgress() != lastProgress) {
+        // Without a current message, what is pending was not handed to the operating system yet, so no peer could read
+        // it.
+        if (buffer.current() == null
+                || buffer.current() != lastMessage
+                || buffer.currentProgress() != lastProgress
+                || pending != lastPending) {
+            lastPending = pending;
             lastMessage = buffer.current();
             lastProgress = buffer.currentProgress();
             lastProgressAtNanos = now;
--- a/siskinlead-protocol/src/test/java/org/siskinlead/protocol/http/InputGateTest.java
+++ b/siskinlead-protocol/src/test/java/org/siskinlead/protocol/http/InputGateTest.java
@@ -85,6 +85,28 @@
         }
     }
 
+    // Guards against taking chunks that another thread has only handed over for ones that the peer does not read.
+    @Test
+    void keepsAConnectionWhoseStreamIsWrittenFasterThanItIsSent() throws Exception {
+        HttpServer server = start(
+                60_000,
+                exchange -> new Thread(() -> {
+                            exchange.startStream("text/plain", Map.of());
+                            for (int i = 0; i < PIPELINED; i++) {
+                                exchange.writeChunk(new byte[] {'x'});
+                            }
+                            exchange.writeChunk(new byte[] {']'});
+                            exchange.endStream();
+                        })
+                        .start());
+        try (Socket socket = connect(server)) {
+            send(socket, "GET /1 HTTP/1.1\r\n\r\n");
+
+            assertThat(readUntil(socket, "]")).endsWith("]");
+            assertThat(resources.counts()).containsEntry("closed_unread_response", 0L);
+        }
+    }
+
     // Guards against responses that no peer reads and that are held for ever.
     @Test
     void closesAConnectionWhosePeerReadsNothing() throws Exception {
