--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/RequestQueue.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/RequestQueue.java
@@ -61,11 +61,15 @@
 
     /** A waiter with its place, which is fixed until the queue is sorted again. */
     private record Entry(Waiter waiter, int priority, double startTag, long latestSendAt) {
-        private static final Comparator<Entry> BY_TIME =
-                Comparator.comparingInt(Entry::priority).thenComparingLong(Entry::latestSendAt);
-        private static final Comparator<Entry> ORDER = Comparator.comparingInt(Entry::priority)
-                .thenComparingDouble(Entry::startTag)
-                .thenComparingLong(Entry::latestSendAt);
+        /** The comparators of the JDK's factory methods cannot be archived and are generated at each start. */
+        private static final Comparator<Entry> BY_TIME = (a, b) -> a.priority() == b.priority()
+                ? Long.compare(a.latestSendAt(), b.latestSendAt())
+                : Integer.compare(a.priority(), b.priority());
+
+        private static final Comparator<Entry> ORDER =
+                (a, b) -> a.priority() == b.priority() && a.startTag() != b.startTag()
+                        ? Double.compare(a.startTag(), b.startTag())
+                        : BY_TIME.compare(a, b);
 
         static Entry of(Waiter waiter) {
             return new Entry(waiter, waiter.priority(), 0, waiter.latestSendAt());
