--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/Forwarder.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/Forwarder.java
@@ -177,6 +177,11 @@
         targetLosses.setCrashReports(reports);
     }
 
+    /** Chooses the paths of requests by own load times the number of daemons, not by shares of a plan. */
+    public void choosePathsByOwnLoad() {
+        chooser.useOwnLoads();
+    }
+
     /**
      * Puts a catalog in force unless its version is not newer than the current one.
      * @param newer the catalog
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/TargetChooser.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/TargetChooser.java
@@ -49,12 +49,18 @@
     private static final int MAX_DAEMONS_OF_SMALL_FLEET = 8;
 
     private final ForwardingContext context;
+    private boolean usesShares = true;
     private final Map<String, PathShares> sharesByService = new HashMap<>();
 
     TargetChooser(ForwardingContext context) {
         this.context = context;
     }
 
+    /** Chooses in a large fleet as in a small one, by own requests times the number of daemons. */
+    void useOwnLoads() {
+        usesShares = false;
+    }
+
     /** The target to which a request is sent, and for model engines the path that starts there. */
     record Choice(TargetHealth target, @Nullable HopPath path) {
         double cost() {
@@ -117,7 +123,7 @@
     }
 
     private boolean isLargeFleet() {
-        return context.daemonCount().getAsInt() > MAX_DAEMONS_OF_SMALL_FLEET;
+        return usesShares && context.daemonCount().getAsInt() > MAX_DAEMONS_OF_SMALL_FLEET;
     }
 
     /** Chooses as if all daemons did so by the same shares, since own requests say little about the load of targets. */
--- a/siskinlead-core/src/main/java/org/siskinlead/core/gateway/Gateway.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/gateway/Gateway.java
@@ -1,7 +1,9 @@
 package org.siskinlead.core.gateway;
 
 import java.util.Collection;
+import java.util.EnumSet;
 import java.util.List;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
@@ -88,9 +90,14 @@
      * @param retries limits on the retries that all daemons together may send to a service
      * @param eras settings for a store that was restored from an older snapshot
      * @param directoryTtlMillis time for which callers may keep an answer of the directory, in milliseconds
+     * @param features decisions of large fleets that the deployment uses
      */
     public record Settings(
-            long maxProofAgeMillis, RetryBudgetShare.Budget retries, EraGuard.Settings eras, long directoryTtlMillis) {
+            long maxProofAgeMillis,
+            RetryBudgetShare.Budget retries,
+            EraGuard.Settings eras,
+            long directoryTtlMillis,
+            Set<FleetFeature> features) {
         private static final long DEFAULT_DIRECTORY_TTL_MS = 1_000;
 
         /** Creates settings of a daemon that starts later than the whole system. */
@@ -99,7 +106,8 @@
                     maxProofAgeMillis,
                     retries,
                     new EraGuard.Settings(maxProofAgeMillis, EraGuard.Start.LATER),
-                    DEFAULT_DIRECTORY_TTL_MS);
+                    DEFAULT_DIRECTORY_TTL_MS,
+                    EnumSet.allOf(FleetFeature.class));
         }
     }
 
@@ -116,14 +124,18 @@
         Supplier<Collection<String>> servingVms =
                 () -> roster.entries().stream().map(RosterEntry::vm).toList();
         this.rateLimits = TargetRateLimits.of(self.vm(), servingVms, timers, timeline);
-        registry.setPacing(Pacing.of(self.vm(), servingVms, timers, timeline));
+        if (settings.features().contains(FleetFeature.SLOW_START)) {
+            registry.setPacing(Pacing.of(self.vm(), servingVms, timers, timeline));
+        }
         this.rateLimitReports =
                 RateLimitReports.of(rateLimits, store, timers, ports.random(), roster::size, registry::isRegistered);
-        this.retryBudget = RetryBudgetShare.pooled(
-                settings.retries(),
-                roster::size,
-                timers,
-                new RetryBudgetShare.Ports(store, ports.random(), timeline, self.vm()));
+        this.retryBudget = settings.features().contains(FleetFeature.RETRY_POOL)
+                ? RetryBudgetShare.pooled(
+                        settings.retries(),
+                        roster::size,
+                        timers,
+                        new RetryBudgetShare.Ports(store, ports.random(), timeline, self.vm()))
+                : RetryBudgetShare.of(settings.retries(), roster::size, timers);
         this.forwarder = Forwarder.of(
                 timers,
                 timeline,
@@ -135,6 +147,9 @@
                 retryBudget,
                 roster::size,
                 ports.random());
+        if (!settings.features().contains(FleetFeature.PATH_SHARES)) {
+            forwarder.choosePathsByOwnLoad();
+        }
         retryBudget.setListener(forwarder.counters().claimListener());
         this.eraGuard = EraGuard.of(
                 store,
--- a/siskinlead-core/src/test/java/org/siskinlead/core/gateway/GatewayTest.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/gateway/GatewayTest.java
@@ -211,7 +211,8 @@
                 4_000,
                 new RetryBudgetShare.Budget(0.2, 40, 10_000),
                 new EraGuard.Settings(4_000, EraGuard.Start.LATER),
-                2_000);
+                2_000,
+                Set.of());
         Gateway leaving = start("vm2", settings);
         boolean[] done = new boolean[1];
         leaving.drain(10_000, () -> done[0] = true);
