--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/AbstractForwardedCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/AbstractForwardedCall.java
@@ -221,10 +221,10 @@
                     .onAnswer(from.target().entry().instanceId(), from.sentAt(), response.requestsPerSecond());
         }
         if (response.retryAfterMillis() > 0 && response.status() != MISDIRECTED_REQUEST) {
-            beginBackoff(from.target(), response.retryAfterMillis());
+            context.registry().onBackoff(from.target(), response.retryAfterMillis());
             context.registry()
                     .findByAddress(response.faultAddress())
-                    .ifPresent(faulty -> beginBackoff(faulty, response.retryAfterMillis()));
+                    .ifPresent(faulty -> context.registry().onBackoff(faulty, response.retryAfterMillis()));
         }
     }
 
@@ -256,19 +256,6 @@
                         context.admission().limitedLevel(admitted.service()));
     }
 
-    final void recordMalformed(RuntimeException cause) {
-        context.timeline()
-                .record(EventKind.REQUEST_RETRIED, "request", admitted.request().id(), "reason", cause);
-    }
-
-    private void beginBackoff(TargetHealth target, long millis) {
-        if (!target.isBackingOff()) {
-            context.timeline()
-                    .record(EventKind.TARGET_BACKOFF, "target", target.entry().id(), "forMs", millis);
-        }
-        target.backOff(millis);
-    }
-
     /** Refuses the request if no target can be used within a time; returns whether it did. */
     final boolean refuseIfUnusableFor(long waitMillis) {
         long unusableMillis = chooser.millisToUse(admitted, queue.lengthAhead(this));
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamingCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamingCall.java
@@ -156,7 +156,13 @@
         try {
             deliver(source, source.decode(part, lastEventId));
         } catch (IllegalStateException e) {
-            recordMalformed(e);
+            context.timeline()
+                    .record(
+                            EventKind.REQUEST_RETRIED,
+                            "request",
+                            admitted.request().id(),
+                            "reason",
+                            e);
             from.cancel();
             handleFailure(from, LinkFailure.MALFORMED);
         }
--- a/siskinlead-core/src/main/java/org/siskinlead/core/registry/TargetRegistry.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/registry/TargetRegistry.java
@@ -192,6 +192,18 @@
         notifyListeners();
     }
 
+    /**
+     * Leaves a target alone for a period that it has asked for.
+     * @param target the target
+     * @param millis period in milliseconds
+     */
+    public void onBackoff(TargetHealth target, long millis) {
+        if (!target.isBackingOff()) {
+            timeline.record(EventKind.TARGET_BACKOFF, "target", target.entry().id(), "forMs", millis);
+        }
+        target.backOff(millis);
+    }
+
     /**
      * Handles that a target said in an answer that it is about to stop. It gets no new requests any more.
      * @param target the target
