--- a/siskinlead-daemon/src/main/java/org/siskinlead/daemon/Daemon.java
+++ b/siskinlead-daemon/src/main/java/org/siskinlead/daemon/Daemon.java
@@ -31,7 +31,6 @@
 import org.siskinlead.protocol.http.HttpClient;
 import org.siskinlead.protocol.http.HttpLimits;
 import org.siskinlead.protocol.http.HttpServer;
-import org.siskinlead.protocol.http.ServerResources;
 
 /** Creates, runs and stops the components of one daemon. */
 final class Daemon {
@@ -46,7 +45,6 @@
     private final EventLoopGroup eventLoopGroup =
             new MultiThreadIoEventLoopGroup(NETWORK_THREADS, NioIoHandler.newFactory());
     private final CountDownLatch drained = new CountDownLatch(1);
-    private final ServerResources serverResources = ServerResources.ofProcess();
     private final Settings settings;
     private final Node node;
     private final PeerLinks peers;
@@ -98,12 +96,7 @@
         if (terminating) {
             return;
         }
-        callers = HttpServer.start(
-                Addresses.parse(settings.entryAddress()),
-                eventLoopGroup,
-                () -> HttpLimits.CALLERS,
-                serverResources,
-                entry);
+        callers = HttpServer.start(Addresses.parse(settings.entryAddress()), eventLoopGroup, HttpLimits.CALLERS, entry);
         loop.publish(() -> {
             node.start();
             VmPoller.start(node, platform, targets, loop);
@@ -151,17 +144,6 @@
                 metrics,
                 "heap.used_bytes",
                 () -> Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory());
-        registerGauge(metrics, "peer.refused", peers::refusedCount);
-        registerGauge(metrics, "requests.body_bytes", serverResources.requests()::usedBytes);
-        registerGauge(metrics, "requests.body_bytes_max", serverResources.requests()::maxBytes);
-        registerGauge(metrics, "connections.open", () ->
-                (long) serverResources.connections().count());
-        registerGauge(metrics, "connections.max", () ->
-                (long) serverResources.connections().max());
-        for (String name : serverResources.counts().keySet()) {
-            registerGauge(
-                    metrics, "input." + name, () -> serverResources.counts().getOrDefault(name, 0L));
-        }
         registerGauge(metrics, "head.version", () -> node.membership().head().version());
         registerGauge(metrics, "timeline.dropped", () -> node.timeline().dropped());
         return metrics;
--- a/siskinlead-daemon/src/main/java/org/siskinlead/daemon/peer/PeerLinks.java
+++ b/siskinlead-daemon/src/main/java/org/siskinlead/daemon/peer/PeerLinks.java
@@ -6,9 +6,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ConnectTimeoutException;
@@ -17,7 +15,6 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
 import java.net.ConnectException;
@@ -28,7 +25,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -36,12 +32,8 @@
 import org.siskinlead.core.peer.PeerMessage;
 import org.siskinlead.core.peer.Peers;
 import org.siskinlead.core.timeline.HybridClock;
-import org.siskinlead.daemon.LineRate;
 import org.siskinlead.daemon.loop.DecisionLoop;
 import org.siskinlead.protocol.http.Addresses;
-import org.siskinlead.protocol.http.ConnectionBytes;
-import org.siskinlead.protocol.http.FairReads;
-import org.siskinlead.protocol.http.OpenConnections;
 import org.siskinlead.protocol.json.ProtocolException;
 import org.siskinlead.protocol.peer.PeerCodec;
 import org.siskinlead.protocol.peer.PeerFrame;
@@ -56,12 +48,6 @@
     private static final int CONNECT_TIMEOUT_MS = 500;
     private static final int MAX_PENDING_MESSAGES = 512;
     private static final long RECONNECT_DELAY_MS = 100;
-    /** Connections whose peer has not sent the peer key yet. Daemons send it as soon as they have connected. */
-    private static final int MAX_UNKNOWN_CONNECTIONS = 64;
-    /** Bytes of incomplete frames of all connections; some frames of the largest size, at twice their size in buffers. */
-    private static final long MAX_INCOMPLETE_BYTES = 4L * PeerCodec.MAX_FRAME_BYTES;
-    /** Lines on refused connections in any second; others are only counted. */
-    private static final int MAX_LOG_LINES_PER_SECOND = 5;
 
     private final EventLoopGroup eventLoopGroup;
     private final DecisionLoop loop;
@@ -71,10 +57,6 @@
     private final Map<String, Link> links = new HashMap<>();
     private Consumer<PeerMessage> onMessage = m -> {};
     private Consumer<String> onConnectionRefused = a -> {};
-    private final OpenConnections unknown = OpenConnections.of(MAX_UNKNOWN_CONNECTIONS);
-    private final ConnectionBytes incomplete = ConnectionBytes.of(MAX_INCOMPLETE_BYTES);
-    private final AtomicLong refused = new AtomicLong();
-    private final LineRate refusalLines = LineRate.perSecond(MAX_LOG_LINES_PER_SECOND);
     private long bytesSent;
     private long messagesSent;
 
@@ -116,10 +98,8 @@
                 .group(eventLoopGroup)
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
-                .option(ChannelOption.SO_RCVBUF, FairReads.RECEIVE_BUFFER_BYTES)
                 .childOption(ChannelOption.TCP_NODELAY, true)
-                .childOption(ChannelOption.RECVBUF_ALLOCATOR, FairReads.create())
-                .childHandler(framePipeline(new UnknownPeerGuard()))
+                .childHandler(framePipeline(new FrameHandler()))
                 .bind(Addresses.parse(selfAddress))
                 .sync()
                 .channel();
@@ -141,14 +121,6 @@
         return bytesSent;
     }
 
-    /**
-     * Counts the connections that were closed because of an invalid frame or a wrong key, or to admit others.
-     * @return connections since the start
-     */
-    public long refusedCount() {
-        return refused.get() + incomplete.closedCount();
-    }
-
     @Override
     public void send(String address, PeerMessage message) {
         if (address.equals(selfAddress)) {
@@ -161,77 +133,37 @@
         links.computeIfAbsent(address, Link::new).send(bytes);
     }
 
-    private ChannelInitializer<SocketChannel> framePipeline(ChannelHandler first) {
+    private ChannelInitializer<SocketChannel> framePipeline(SimpleChannelInboundHandler<ByteBuf> handler) {
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(SocketChannel socket) {
                 socket.pipeline()
-                        .addLast(first)
                         .addLast(new LengthFieldBasedFrameDecoder(
                                 PeerCodec.MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
                         .addLast(new LengthFieldPrepender(LENGTH_BYTES))
-                        .addLast(new FrameHandler());
+                        .addLast(handler);
             }
         };
     }
 
-    private boolean isPeerKey(String key) {
-        return MessageDigest.isEqual(key.getBytes(StandardCharsets.UTF_8), peerKey.getBytes(StandardCharsets.UTF_8));
-    }
-
-    private void refuse(ChannelHandlerContext context, String reason) {
-        refused.incrementAndGet();
-        if (refusalLines.tryAcquire()) {
-            LOG.warn("closing peer connection from {}: {}", context.channel().remoteAddress(), reason);
-        }
-        context.close();
-    }
-
-    /** Bounds the connections, and their bytes, of peers that have not proven yet that they are daemons. */
-    @ChannelHandler.Sharable
-    private final class UnknownPeerGuard extends ChannelInboundHandlerAdapter {
-        @Override
-        public void channelActive(ChannelHandlerContext context) {
-            Channel excess = unknown.admit(context.channel());
-            if (excess != null) {
-                refused.incrementAndGet();
-                excess.eventLoop().execute(excess::close);
-            }
-            context.fireChannelActive();
-        }
-
-        @Override
-        public void channelRead(ChannelHandlerContext context, Object message) {
-            if (message instanceof ByteBuf bytes) {
-                incomplete.add(context.channel(), bytes.readableBytes());
-            }
-            context.fireChannelRead(message);
-        }
-
-        /** Runs when the connection is closed, or when its first frame has shown that the peer is a daemon. */
-        @Override
-        public void handlerRemoved(ChannelHandlerContext context) {
-            unknown.remove(context.channel());
-            incomplete.release(context.channel());
-        }
+    private boolean hasPeerKey(PeerFrame frame) {
+        return MessageDigest.isEqual(
+                frame.key().getBytes(StandardCharsets.UTF_8), peerKey.getBytes(StandardCharsets.UTF_8));
     }
 
+    @io.netty.channel.ChannelHandler.Sharable
     private final class FrameHandler extends SimpleChannelInboundHandler<ByteBuf> {
         @Override
         protected void channelRead0(ChannelHandlerContext context, ByteBuf bytes) {
-            if (!context.channel().isActive()) {
-                return;
-            }
             byte[] frameBytes = new byte[bytes.readableBytes()];
             bytes.readBytes(frameBytes);
-            // Only a daemon may have its frame decoded: its objects can take many times its bytes.
-            if (!isPeerKey(PeerCodec.readKey(frameBytes))) {
-                refuse(context, "wrong peer key");
-                return;
-            }
             PeerFrame frame = PeerCodec.decode(frameBytes);
-            if (context.pipeline().get(UnknownPeerGuard.class) != null) {
-                context.pipeline().remove(UnknownPeerGuard.class);
+            if (!hasPeerKey(frame)) {
+                LOG.warn(
+                        "closing peer connection from {}: wrong peer key",
+                        context.channel().remoteAddress());
+                context.close();
+                return;
             }
             loop.publish(() -> {
                 clock.observe(frame.time());
@@ -241,11 +173,12 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            if (cause instanceof ProtocolException || cause instanceof DecoderException) {
-                refuse(context, "invalid frame");
-            } else {
-                context.close();
+            if (cause instanceof ProtocolException || cause instanceof io.netty.handler.codec.DecoderException) {
+                LOG.warn(
+                        "closing peer connection from {}: invalid frame",
+                        context.channel().remoteAddress());
             }
+            context.close();
         }
     }
 
@@ -285,7 +218,7 @@
                     .channel(NioSocketChannel.class)
                     .option(ChannelOption.TCP_NODELAY, true)
                     .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
-                    .handler(framePipeline(new ChannelInboundHandlerAdapter()))
+                    .handler(framePipeline(new FrameHandler()))
                     .connect(remote)
                     .addListener(done -> loop.publish(() -> onConnected((ChannelFuture) done)));
         }
--- a/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/ConnectionTimeouts.java
+++ b/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/ConnectionTimeouts.java
@@ -1,7 +1,6 @@
 package org.siskinlead.protocol.http;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.HttpContent;
@@ -19,7 +18,6 @@
 final class ConnectionTimeouts {
     private final Supplier<HttpLimits> limits;
     private final ConnectionCounts counts;
-    private final ServerResources resources;
     private @Nullable Future<?> closeTimer;
     private boolean unused;
     private boolean busy;
@@ -30,15 +28,9 @@
     /** Whether the header section of the arriving request is complete. */
     private boolean arrivingBody;
 
-    ConnectionTimeouts(Supplier<HttpLimits> limits, ConnectionCounts counts, ServerResources resources) {
+    ConnectionTimeouts(Supplier<HttpLimits> limits, ConnectionCounts counts) {
         this.limits = limits;
         this.counts = counts;
-        this.resources = resources;
-    }
-
-    /** Tells whether a request has arrived whole and is not yet answered. */
-    boolean isAnswering() {
-        return unanswered > 0;
     }
 
     /**
@@ -52,7 +44,6 @@
             public void channelActive(ChannelHandlerContext context) {
                 counts.unused.incrementAndGet();
                 unused = true;
-                admit(context.channel());
                 onIdle(context);
                 context.fireChannelActive();
             }
@@ -63,7 +54,6 @@
                 if (!busy) {
                     busy = true;
                     counts.busy.incrementAndGet();
-                    resources.connections().onArriving(context.channel());
                     scheduleClose(context, limits.get().headerMillis());
                 }
                 arriving = true;
@@ -77,7 +67,6 @@
             @Override
             public void channelInactive(ChannelHandlerContext context) {
                 cancelTimer();
-                resources.connections().remove(context.channel());
                 onUsed();
                 onNotBusy();
                 context.fireChannelInactive();
@@ -85,24 +74,17 @@
         };
     }
 
-    /**
-     * Creates a handler of decoded messages, which limits the silence within a body.
-     * @param decoder decoder of the messages, which may hold a part of the next request
-     */
-    ChannelInboundHandlerAdapter afterCodec(RequestDecoder decoder) {
+    /** Creates a handler of decoded messages, which limits the silence within a body. */
+    ChannelInboundHandlerAdapter afterCodec() {
         return new ChannelInboundHandlerAdapter() {
             @Override
             public void channelRead(ChannelHandlerContext context, Object message) {
                 if (message instanceof LastHttpContent) {
                     cancelTimer();
                     unanswered++;
-                    arriving = decoder.undecodedBytes() > 0;
+                    arriving = false;
                     arrivingBody = false;
-                    if (unanswered > 0) {
-                        resources.connections().onAnswering(context.channel());
-                    } else if (arriving) {
-                        scheduleArrivalTimeout(context);
-                    } else {
+                    if (unanswered == 0) {
                         onIdle(context);
                     }
                 } else if (message instanceof HttpRequest || message instanceof HttpContent) {
@@ -126,7 +108,6 @@
 
     private void onIdle(ChannelHandlerContext context) {
         onNotBusy();
-        resources.connections().onIdle(context.channel());
         scheduleClose(context, limits.get().idleMillis());
     }
 
@@ -155,22 +136,7 @@
 
     private void scheduleClose(ChannelHandlerContext context, long millis) {
         cancelTimer();
-        closeTimer = context.executor()
-                .schedule(
-                        () -> {
-                            resources.counters().increment(ServerCounters.Kind.CLOSED_TIMEOUT);
-                            context.close();
-                        },
-                        millis,
-                        TimeUnit.MILLISECONDS);
-    }
-
-    private void admit(Channel connection) {
-        Channel excess = resources.connections().admit(connection);
-        if (excess != null) {
-            resources.counters().increment(ServerCounters.Kind.CLOSED_TOO_MANY);
-            excess.eventLoop().execute(excess::close);
-        }
+        closeTimer = context.executor().schedule(() -> context.close(), millis, TimeUnit.MILLISECONDS);
     }
 
     private void cancelTimer() {
--- a/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/HttpClient.java
+++ b/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/HttpClient.java
@@ -60,7 +60,7 @@
     private final EventLoopGroup group;
     private final int connectTimeoutMillis;
     private final Map<InetSocketAddress, Deque<Channel>> idleChannels = new ConcurrentHashMap<>();
-    private final ConnectionBytes received = ConnectionBytes.of(ConnectionBytes.MAX_RECEIVED_BYTES);
+    private final ReceivedBytes received = new ReceivedBytes();
 
     private HttpClient(EventLoopGroup group, int connectTimeoutMillis) {
         this.group = group;
--- a/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/HttpServer.java
+++ b/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/HttpServer.java
@@ -8,7 +8,11 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpServerCodec;
 import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -16,11 +20,12 @@
 
 /** HTTP/1.1 server that hands each request to a handler as an {@link HttpExchange}. */
 public final class HttpServer implements AutoCloseable {
-    static final int MAX_LINE_BYTES = 8_192;
+    private static final int MAX_LINE_BYTES = 8_192;
     /** Largest header section that is decoded, so that a limit that is raised also holds for open connections. */
-    static final int MAX_HEADER_BYTES = 65_536;
+    private static final int MAX_HEADER_BYTES = 65_536;
 
     private static final int BACKLOG = 1_024;
+    private static final int MAX_PIPELINED_REQUESTS = 8;
     /** High-water mark of unsent bytes: above it {@link HttpExchange#isReaderSlow} is true, until half are left. */
     private static final int MAX_UNSENT_BYTES = 1_048_576;
 
@@ -55,7 +60,7 @@
     public static HttpServer start(
             InetSocketAddress address, EventLoopGroup group, HttpLimits limits, ExchangeHandler handler)
             throws InterruptedException {
-        return start(address, group, () -> limits, ServerResources.ofProcess(), handler);
+        return start(address, group, () -> limits, RequestMemory.ofHeap(), handler);
     }
 
     /**
@@ -63,7 +68,7 @@
      * @param address IP address and port to listen on
      * @param group network threads
      * @param limits supplies the limits in force, which hold for the next request of each connection
-     * @param resources what connections may use, which servers of a process may share
+     * @param memory memory for the bodies of requests, which servers of a process may share
      * @param handler called for each request, on a network thread
      * @return the server, which accepts connections
      * @throws InterruptedException if interrupted before the server listens
@@ -72,7 +77,7 @@
             InetSocketAddress address,
             EventLoopGroup group,
             Supplier<HttpLimits> limits,
-            ServerResources resources,
+            RequestMemory memory,
             ExchangeHandler handler)
             throws InterruptedException {
         ConnectionCounts counts = new ConnectionCounts();
@@ -81,13 +86,11 @@
                 .channelFactory(ListeningChannel::new)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
-                .option(ChannelOption.SO_RCVBUF, FairReads.RECEIVE_BUFFER_BYTES)
                 .childOption(ChannelOption.TCP_NODELAY, true)
-                .childOption(ChannelOption.RECVBUF_ALLOCATOR, FairReads.create())
                 .childOption(
                         ChannelOption.WRITE_BUFFER_WATER_MARK,
                         new WriteBufferWaterMark(MAX_UNSENT_BYTES / 2, MAX_UNSENT_BYTES))
-                .childHandler(new PipelineInitializer(limits, resources, handler, counts))
+                .childHandler(new PipelineInitializer(limits, memory, handler, counts))
                 .bind(address)
                 .sync()
                 .channel();
@@ -155,67 +158,72 @@
 
     private static final class PipelineInitializer extends ChannelInitializer<SocketChannel> {
         private final Supplier<HttpLimits> limits;
-        private final ServerResources resources;
+        private final RequestMemory memory;
         private final ExchangeHandler handler;
         private final ConnectionCounts counts;
 
         PipelineInitializer(
-                Supplier<HttpLimits> limits,
-                ServerResources resources,
-                ExchangeHandler handler,
-                ConnectionCounts counts) {
+                Supplier<HttpLimits> limits, RequestMemory memory, ExchangeHandler handler, ConnectionCounts counts) {
             this.limits = limits;
-            this.resources = resources;
+            this.memory = memory;
             this.handler = handler;
             this.counts = counts;
         }
 
         @Override
         protected void initChannel(SocketChannel socket) {
-            ConnectionTimeouts timeouts = new ConnectionTimeouts(limits, counts, resources);
-            RequestDecoder decoder = RequestDecoder.of(limits, resources.requests(), timeouts::isAnswering);
-            InputGate gate = InputGate.of(decoder, resources.undecoded());
+            HttpDecoderConfig config = new HttpDecoderConfig()
+                    .setMaxInitialLineLength(MAX_LINE_BYTES)
+                    .setMaxHeaderSize(Math.max(MAX_HEADER_BYTES, limits.get().maxHeaderBytes()));
+            ConnectionTimeouts timeouts = new ConnectionTimeouts(limits, counts);
             socket.pipeline()
-                    .addLast(UnsentBytes.of(limits, resources))
                     .addLast(timeouts.beforeCodec())
-                    .addLast(gate)
-                    .addLast(decoder)
-                    .addLast(ResponseEncoder.of(decoder))
-                    .addLast(timeouts.afterCodec(decoder))
-                    .addLast(new RequestAssembler(limits, resources.requests()))
-                    .addLast(new Dispatcher(handler, timeouts, gate, resources.counters()));
+                    .addLast(new HttpServerCodec(config))
+                    .addLast(timeouts.afterCodec())
+                    .addLast(new RequestAssembler(limits, memory))
+                    .addLast(new Dispatcher(handler, timeouts));
         }
     }
 
-    /** Handles requests. The decoder passes on the next one of a connection only after the response to the last one. */
+    /** Handles pipelined requests one at a time; closes the connection when more than the maximum are waiting. */
     private static final class Dispatcher extends SimpleChannelInboundHandler<ReceivedRequest> {
         private final ExchangeHandler handler;
         private final ConnectionTimeouts timeouts;
-        private final InputGate gate;
-        private final ServerCounters counters;
+        private final Deque<HttpExchange> pipelined = new ArrayDeque<>();
         private @Nullable HttpExchange current;
 
-        Dispatcher(ExchangeHandler handler, ConnectionTimeouts timeouts, InputGate gate, ServerCounters counters) {
+        Dispatcher(ExchangeHandler handler, ConnectionTimeouts timeouts) {
             this.handler = handler;
             this.timeouts = timeouts;
-            this.gate = gate;
-            this.counters = counters;
         }
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, ReceivedRequest request) {
             HttpExchange exchange = new HttpExchange(
                     context.channel(), request, () -> context.executor().execute(() -> onResponded(context)));
-            current = exchange;
-            if (!exchange.refuseUnread(counters)) {
-                handler.handle(exchange);
+            if (pipelined.size() >= MAX_PIPELINED_REQUESTS) {
+                exchange.connectionClosed();
+                context.close();
+            } else {
+                pipelined.add(exchange);
+                handleNext();
             }
         }
 
         private void onResponded(ChannelHandlerContext context) {
             current = null;
             timeouts.onResponded(context);
-            gate.onResponded();
+            handleNext();
+        }
+
+        private void handleNext() {
+            if (current == null && !pipelined.isEmpty()) {
+                HttpExchange next = pipelined.remove();
+                current = next;
+                if (!next.refuseUnread()) {
+                    handler.handle(next);
+                }
+            }
         }
 
         @Override
@@ -223,6 +231,8 @@
             if (current != null) {
                 current.connectionClosed();
             }
+            pipelined.forEach(HttpExchange::connectionClosed);
+            pipelined.clear();
         }
 
         @Override
--- a/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/ReceivedRequest.java
+++ b/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/ReceivedRequest.java
@@ -16,24 +16,18 @@
 record ReceivedRequest(HttpRequest head, Body body, Refusal refusal) {
     /** Why a request is refused before its body is read. */
     enum Refusal {
-        NONE("", ServerCounters.Kind.REFUSED_MALFORMED),
+        NONE(""),
         /** The request is not valid HTTP, or exceeds the limits that apply while it is decoded. */
-        MALFORMED("malformed HTTP request", ServerCounters.Kind.REFUSED_MALFORMED),
-        HEADER_TOO_LARGE("the header section is too large", ServerCounters.Kind.REFUSED_HEADER_TOO_LARGE),
-        BODY_TOO_LARGE("the body is too large", ServerCounters.Kind.REFUSED_BODY_TOO_LARGE),
-        /** Other requests use the memory. */
-        NO_MEMORY("other requests use the memory", ServerCounters.Kind.REFUSED_NO_MEMORY);
+        MALFORMED("malformed HTTP request"),
+        HEADER_TOO_LARGE("the header section is too large"),
+        BODY_TOO_LARGE("the body is too large"),
+        /** The bodies of other requests use the memory. */
+        NO_MEMORY("the bodies of other requests use the memory");
 
         private final String text;
-        private final ServerCounters.Kind counter;
 
-        Refusal(String text, ServerCounters.Kind counter) {
+        Refusal(String text) {
             this.text = text;
-            this.counter = counter;
-        }
-
-        ServerCounters.Kind counter() {
-            return counter;
         }
 
         String text() {
@@ -61,23 +55,26 @@
                 : HttpResponseStatus.BAD_REQUEST;
     }
 
-    /** Bytes of a body, which stay reserved in {@link RequestMemory}, as the header section does, until they are released. */
+    /** Bytes of a body, which stay reserved in {@link RequestMemory} until they are released. */
     static final class Body {
-        private final RequestMemory.Reservation reservation;
+        private final RequestMemory memory;
         private final byte[] bytes;
+        private long reservedBytes;
 
-        Body(RequestMemory.Reservation reservation, byte[] bytes) {
-            this.reservation = reservation;
+        Body(RequestMemory memory, byte[] bytes, long reservedBytes) {
+            this.memory = memory;
             this.bytes = bytes;
+            this.reservedBytes = reservedBytes;
         }
 
         byte[] bytes() {
             return bytes;
         }
 
-        /** Returns the memory of the request; later calls have no effect. */
-        void release() {
-            reservation.releaseAll();
+        /** Returns the memory; later calls have no effect. */
+        synchronized void release() {
+            memory.release(reservedBytes);
+            reservedBytes = 0;
         }
     }
 }
--- a/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/RequestAssembler.java
+++ b/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/RequestAssembler.java
@@ -32,22 +32,21 @@
     /** Bytes of a refused body that are read so that the next request of the connection can be found. */
     private static final long MAX_SKIPPED_BYTES = 16_777_216;
 
+    /** Bytes of a header field besides its name and value: colon, space and line end. */
+    private static final int FIELD_OVERHEAD_BYTES = 4;
+
     private final Supplier<HttpLimits> limits;
     private final RequestMemory memory;
     private @Nullable HttpRequest head;
-    private RequestMemory.Reservation reservation;
     private byte[] bytes = {};
     private int length;
     private int maxBodyBytes;
-    /** Bytes reserved for the body. */
     private long reservedBytes;
-
     private long skippedBytes;
 
     RequestAssembler(Supplier<HttpLimits> limits, RequestMemory memory) {
         this.limits = limits;
         this.memory = memory;
-        this.reservation = memory.newReservation();
     }
 
     @Override
@@ -62,8 +61,6 @@
 
     private void onHead(ChannelHandlerContext context, HttpRequest request) {
         head = request;
-        reservation =
-                request.headers() instanceof CountedHeaders counted ? counted.reservation() : memory.newReservation();
         length = 0;
         bytes = new byte[0];
         reservedBytes = 0;
@@ -71,8 +68,7 @@
         HttpLimits current = limits.get();
         maxBodyBytes = current.maxBodyBytes();
         if (request.decoderResult().isFailure()) {
-            boolean noMemory = request.decoderResult().cause() instanceof CountedHeaders.NoMemoryException;
-            refuse(context, noMemory ? Refusal.NO_MEMORY : Refusal.MALFORMED);
+            refuse(context, Refusal.MALFORMED);
             return;
         }
         if (headerBytes(request) > current.maxHeaderBytes()) {
@@ -96,7 +92,7 @@
                 request.headers().iteratorCharSequence();
         while (fields.hasNext()) {
             Map.Entry<CharSequence, CharSequence> field = fields.next();
-            count += field.getKey().length() + field.getValue().length() + CountedHeaders.FIELD_OVERHEAD_BYTES;
+            count += field.getKey().length() + field.getValue().length() + FIELD_OVERHEAD_BYTES;
         }
         return count;
     }
@@ -118,9 +114,9 @@
             head = null;
             byte[] body = length == bytes.length ? bytes : Arrays.copyOf(bytes, length);
             bytes = new byte[0];
-            reservation.release(reservedBytes - length);
+            memory.release(reservedBytes - length);
             reservedBytes = 0;
-            context.fireChannelRead(new ReceivedRequest(complete, new Body(reservation, body), Refusal.NONE));
+            context.fireChannelRead(new ReceivedRequest(complete, new Body(memory, body, length), Refusal.NONE));
         }
     }
 
@@ -153,7 +149,7 @@
     }
 
     private boolean tryReserve(long count, long bodyBytes) {
-        if (!reservation.tryReserve(count, bodyBytes)) {
+        if (!memory.tryReserve(count, bodyBytes)) {
             return false;
         }
         reservedBytes += count;
@@ -167,11 +163,11 @@
         }
         head = null;
         releaseAll();
-        context.fireChannelRead(new ReceivedRequest(refused, new Body(reservation, new byte[0]), refusal));
+        context.fireChannelRead(new ReceivedRequest(refused, new Body(memory, new byte[0], 0), refusal));
     }
 
     private void releaseAll() {
-        reservation.release(reservedBytes);
+        memory.release(reservedBytes);
         reservedBytes = 0;
         bytes = new byte[0];
     }
