Review: stand-ins choose free loopback addresses and end daemons on SIGTERM

Cause: the port of the metrics page is fixed in the deploy file, so that two cases with the same address could not run beside each other, and a script that was ended left its daemons running.

--- a/review/lab2/standins.py
+++ b/review/lab2/standins.py
@@ -33,6 +33,30 @@
         return probe.getsockname()[1]
 
 
+def metrics_port():
+    """Gets the port of the metrics page, which the command of the deploy file names."""
+    return int(re.search(r"--metrics-port=(\d+)", deploy_command()).group(1))
+
+
+def deploy_command():
+    with open(os.path.join(ROOT, "deploy/system.toml"), "rb") as file:
+        return tomllib.load(file)["roles"]["router"]["run"]
+
+
+def free_hosts(count):
+    """Chooses loopback addresses on which the port of the metrics page is free."""
+    port, hosts = metrics_port(), []
+    while len(hosts) < count:
+        host = f"127.{random.randint(1, 250)}.{random.randint(1, 250)}.{random.randint(1, 250)}"
+        with socket.socket() as probe:
+            try:
+                probe.bind((host, port))
+            except OSError:
+                continue
+        hosts.append(host)
+    return hosts
+
+
 class Record:
     """Writes what was sent, answered and run to record.txt, with the seconds since the start."""
 
@@ -363,8 +387,7 @@
         return self.host, self.ports["front"]
 
     def start(self):
-        with open(os.path.join(ROOT, "deploy/system.toml"), "rb") as file:
-            command = tomllib.load(file)["roles"]["router"]["run"].split()
+        command = deploy_command().split()
         environment = {k: os.environ[k] for k in ("PATH", "HOME", "JAVA_HOME", "LANG") if k in os.environ}
         environment["SISKINLEAD_BOOT"] = self.settings
         with open(self.log, "ab") as log:
@@ -458,6 +481,7 @@
 
 def run(case, folder):
     """Runs a case; exits with 1 if it says that the rule was broken, 0 if it held, 2 if the case could not run."""
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
     record = Record(folder)
     daemons = []
     code = 2
