--- a/review/7/case.py
+++ b/review/7/case.py
@@ -7,7 +7,7 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "lab2"))
 sys.dont_write_bytecode = True
-from standins import BOUNDS, TROUBLE, Client, Daemon, Server, Store, configuration, now, pace, route, run  # noqa: E402
+from standins import BOUNDS, TROUBLE, Client, Daemon, Server, Store, configuration, free_hosts, now, pace, route, run  # noqa: E402
 
 DRAIN_S = BOUNDS["drain_ms"] / 1000
 CUTS_AT_S = (4, 6, 8)
@@ -28,8 +28,8 @@
         [{"name": "jobdesk", "health_path": "/health", "max_conns": 96}]))
     for server in servers:
         await server.register()
-    for i in (1, 2):
-        daemons.append(Daemon(scratch, f"front-{i}", f"127.0.1.{i}", store.address, f"z{i}"))
+    for i, host in enumerate(free_hosts(2), 1):
+        daemons.append(Daemon(scratch, f"front-{i}", host, store.address, f"z{i}"))
         daemons[-1].start()
     for daemon in daemons:
         await daemon.ready()
