--- a/review/9/case.py
+++ b/review/9/case.py
@@ -8,7 +8,7 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "lab2"))
 sys.dont_write_bytecode = True
-from standins import BOUNDS, TROUBLE, Client, Daemon, Server, Store, configuration, now, pace, route, run  # noqa: E402
+from standins import BOUNDS, TROUBLE, Client, Daemon, Server, Store, configuration, free_hosts, now, pace, route, run  # noqa: E402
 
 CONTACT_S = BOUNDS["contact_ms"] / 1000
 # Largest for_s of srv_crash with "dark" in the site file.
@@ -57,8 +57,8 @@
         [{"name": "jobdesk", "health_path": "/health", "max_conns": 96}]))
     for server in servers:
         await server.register()
-    for i in range(1, 5):
-        daemons.append(Daemon(scratch, f"front-{i}", f"127.0.1.{i}", store.address, f"z{(i - 1) % 3 + 1}"))
+    for i, host in enumerate(free_hosts(4), 1):
+        daemons.append(Daemon(scratch, f"front-{i}", host, store.address, f"z{(i - 1) % 3 + 1}"))
         daemons[-1].start()
     for daemon in daemons:
         await daemon.ready()
