A cut watch is no outage of the store; known removals end within the drain period

Callers saw: requests reached a target for up to 4.5 s after its entry was removed (drain period 2 s), and unsafe ones that ran there when it ended got no answer.

Cause: one failed watch counted as an outage of the store until the next watch was answered, though the store may cut a waiting watch. An entry removed meanwhile was taken to have lapsed, and its target stayed in use for 2.3 s after the outage, which each further cut began anew; 2.3 s alone is longer than the drain period.

Ruled out: a removal that was read late (the watch after the cut brought it), requests that were queued or on kept connections (they were sent after it).

Fix: StoreOutages is the one judgement of what an outage is. A removal that is known is bound by the drain period of the deployment, less 150 ms to arrive, whatever the store does meanwhile: at most 1.85 s from the removal to the last send where it is 2 s.

--- a/siskinlead-core/src/main/java/org/siskinlead/core/gateway/Gateway.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/gateway/Gateway.java
@@ -16,6 +16,7 @@
 import org.siskinlead.core.forwarding.TargetLink;
 import org.siskinlead.core.freshness.EraGuard;
 import org.siskinlead.core.freshness.Freshness;
+import org.siskinlead.core.outage.StoreOutages;
 import org.siskinlead.core.pacing.Pacing;
 import org.siskinlead.core.placement.LayerOrderSender;
 import org.siskinlead.core.placement.LayerPlacementController;
@@ -52,6 +53,7 @@
     private final Timers timers;
     private final Timeline timeline;
     private final Freshness freshness;
+    private final StoreOutages outages;
     private final TargetRegistry registry;
     private final Roster roster;
     private final Forwarder forwarder;
@@ -65,7 +67,6 @@
     private Consumer<Catalog> catalogListener = catalog -> {};
     private boolean listening;
     private boolean draining;
-    private boolean storeLost = true;
 
     /**
      * Interfaces through which a gateway uses its environment.
@@ -90,6 +91,7 @@
      * @param retries limits on the retries that all daemons together may send to a service
      * @param eras settings for a store that was restored from an older snapshot
      * @param directoryTtlMillis time for which callers may keep an answer of the directory, in milliseconds
+     * @param targetDrainMillis time within which requests may reach a target that is known to leave, in milliseconds
      * @param features decisions of large fleets that the deployment uses
      */
     public record Settings(
@@ -97,8 +99,10 @@
             RetryBudgetShare.Budget retries,
             EraGuard.Settings eras,
             long directoryTtlMillis,
+            long targetDrainMillis,
             Set<FleetFeature> features) {
         private static final long DEFAULT_DIRECTORY_TTL_MS = 1_000;
+        private static final long DEFAULT_TARGET_DRAIN_MS = 2_000;
 
         /** Creates settings of a daemon that starts later than the whole system. */
         public Settings(long maxProofAgeMillis, RetryBudgetShare.Budget retries) {
@@ -107,6 +111,7 @@
                     retries,
                     new EraGuard.Settings(maxProofAgeMillis, EraGuard.Start.LATER),
                     DEFAULT_DIRECTORY_TTL_MS,
+                    DEFAULT_TARGET_DRAIN_MS,
                     EnumSet.allOf(FleetFeature.class));
         }
     }
@@ -118,9 +123,12 @@
         this.keptByCallersMillis = DIRECTORY_TTLS_KEPT * settings.directoryTtlMillis();
         this.timeline = timeline;
         this.freshness = Freshness.of(timers, settings.maxProofAgeMillis());
-        this.registry = TargetRegistry.of(timers, timeline);
+        this.outages = StoreOutages.untilFirstAnswer(timers);
+        outages.addListener(recordedOutages());
+        this.registry = TargetRegistry.of(timers, timeline, outages);
+        registry.setDrainPeriod(settings.targetDrainMillis());
         TimedLeaseStore store = TimedLeaseStore.of(ports.store(), timers);
-        this.roster = Roster.start(self, store, timers, timeline);
+        this.roster = Roster.start(self, store, timers, timeline, outages);
         Supplier<Collection<String>> servingVms =
                 () -> roster.entries().stream().map(RosterEntry::vm).toList();
         this.rateLimits = TargetRateLimits.of(self.vm(), servingVms, timers, timeline);
@@ -194,6 +202,20 @@
         return new Gateway(self, ports, settings, timeline);
     }
 
+    private StoreOutages.Listener recordedOutages() {
+        return new StoreOutages.Listener() {
+            @Override
+            public void onOutage(String reason) {
+                timeline.record(EventKind.STORE_LOST, "reason", reason, "proofAgeMs", freshness.ageMillis());
+            }
+
+            @Override
+            public void onOutageEnded() {
+                timeline.record(EventKind.STORE_REGAINED);
+            }
+        };
+    }
+
     // Queries
 
     /**
@@ -204,6 +226,14 @@
         return forwarder;
     }
 
+    /**
+     * Returns the judgement about outages of the store.
+     * @return the outages
+     */
+    public StoreOutages outages() {
+        return outages;
+    }
+
     /**
      * Returns the registry of targets.
      * @return the registry
@@ -283,7 +313,7 @@
      * says nothing.
      */
     private boolean othersServe() {
-        return !storeLost && roster.listsOtherFor(knownToCallersMillis);
+        return !outages.isOutage() && roster.listsOtherFor(knownToCallersMillis);
     }
 
     /** Counts the daemons that come before this one in the order of their names. */
@@ -403,26 +433,25 @@
             freshness.recordProof(sent);
             announceIfServing();
         }
-        if (storeLost) {
-            storeLost = false;
-            timeline.record(EventKind.STORE_REGAINED);
-            registry.onStoreRegained();
-            roster.onStoreRegained();
-        }
+        outages.onAnswered();
         forwarder.onProof();
     }
 
+    /**
+     * Records that a call that follows the store has failed.
+     * @param failure how it failed
+     * @param reason observed failure, for the event log
+     */
+    public void onStoreCallFailed(StoreOutages.Failure failure, String reason) {
+        outages.onFailed(failure, reason);
+    }
+
     /**
      * Records that the store does not answer.
      * @param reason observed failure, for the event log
      */
     public void onStoreLost(String reason) {
-        if (!storeLost) {
-            storeLost = true;
-            timeline.record(EventKind.STORE_LOST, "reason", reason, "proofAgeMs", freshness.ageMillis());
-            registry.onStoreLost();
-            roster.onStoreLost();
-        }
+        outages.begin(reason);
     }
 
     /**
--- a/siskinlead-core/src/main/java/org/siskinlead/core/registry/TargetRegistry.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/registry/TargetRegistry.java
@@ -4,12 +4,12 @@
 import java.util.Collection;
 import java.util.Collections;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.siskinlead.core.outage.StoreOutages;
 import org.siskinlead.core.pacing.Pacing;
 import org.siskinlead.core.time.Timers;
 import org.siskinlead.core.timeline.EventKind;
@@ -18,24 +18,28 @@
 /**
  * Targets that are registered in the store. A target whose entry lapsed during a store outage stays listed for a grace
  * period after the outage, so that it can renew its entry; a target whose entry is removed while the store is available
- * is removed at once.
+ * is removed at once. Either way it leaves the list in time for no request to reach it after the drain period, which
+ * begins when the removal becomes known here.
  */
 public final class TargetRegistry {
-    /** Time after a store outage for running targets to renew lapsed entries; the platform specifies 2 s. */
-    public static final long LAPSE_GRACE_MS = 2_300;
-
     /**
      * Time from the first registration for which a daemon is still reading the list of targets, some of which register
      * again after an outage that ended meanwhile.
      */
-    private static final long LISTING_MS = LAPSE_GRACE_MS;
+    private static final long LISTING_MS = StoreOutages.LAPSE_GRACE_MS;
+
+    /** Time for a request that was just sent to reach its target. */
+    private static final long SEND_MARGIN_MS = 150;
 
     private static final int MAX_LEAVING_INSTANCES = 5_000;
 
     private final Timers timers;
     private final Timeline timeline;
     private final Map<String, TargetHealth> byId = new HashMap<>();
-    private final Set<String> lapsed = new HashSet<>();
+    private final StoreOutages outages;
+    /** Times at which the removals became known of targets that may renew their entries, by id. */
+    private final Map<String, Long> lapsed = new HashMap<>();
+
     /** Instances known to be leaving, also after their entries were removed; the oldest are forgotten. */
     private final Set<String> leavingInstances = Collections.newSetFromMap(new LinkedHashMap<>() {
         private static final long serialVersionUID = 1;
@@ -47,14 +51,14 @@
     });
 
     private final List<Runnable> listeners = new ArrayList<>();
-    private long storeRegainedAtMillis = Long.MIN_VALUE / 2;
-    private boolean storeLost;
+    private long maxLapsedMillis = Long.MAX_VALUE / 2;
     private long firstRegisteredAt = Long.MAX_VALUE;
     private Pacing pacing;
 
-    private TargetRegistry(Timers timers, Timeline timeline) {
+    private TargetRegistry(Timers timers, Timeline timeline, StoreOutages outages) {
         this.timers = timers;
         this.timeline = timeline;
+        this.outages = outages;
         this.pacing = Pacing.of("", List::of, timers, timeline);
     }
 
@@ -62,10 +66,18 @@
      * Creates an empty registry.
      * @param timers clock and scheduler
      * @param timeline log of the events of targets that join or leave
+     * @param outages tells whether a missing entry may have lapsed
      * @return a registry without targets
      */
-    public static TargetRegistry of(Timers timers, Timeline timeline) {
-        return new TargetRegistry(timers, timeline);
+    public static TargetRegistry of(Timers timers, Timeline timeline, StoreOutages outages) {
+        TargetRegistry registry = new TargetRegistry(timers, timeline, outages);
+        outages.addListener(new StoreOutages.Listener() {
+            @Override
+            public void onOutageEnded() {
+                timers.after(StoreOutages.LAPSE_GRACE_MS, registry::removeLapsed);
+            }
+        });
+        return registry;
     }
 
     // Queries
@@ -140,6 +152,14 @@
         pacing = newPacing;
     }
 
+    /**
+     * Sets the time within which requests may reach a target whose removal is known.
+     * @param drainMillis drain period of targets, in milliseconds
+     */
+    public void setDrainPeriod(long drainMillis) {
+        maxLapsedMillis = Math.max(0, drainMillis - SEND_MARGIN_MS);
+    }
+
     /**
      * Adds a listener for targets that appear, change or leave.
      * @param listener called after each change
@@ -218,7 +238,7 @@
 
     /**
      * Handles the removal of an entry from the store. During and shortly after a store outage, the target stays listed
-     * until the grace period ends.
+     * until the grace period ends, but no longer than the drain period allows.
      * @param id identity of the target
      */
     public void unregister(String id) {
@@ -226,8 +246,10 @@
         if (known == null || known.isRemoved()) {
             return;
         }
-        if (storeLost || timers.nowMillis() - storeRegainedAtMillis < LAPSE_GRACE_MS) {
-            lapsed.add(id);
+        if (outages.mayHaveLapsed()) {
+            if (lapsed.putIfAbsent(id, timers.nowMillis()) == null) {
+                timers.after(maxLapsedMillis, this::removeLapsed);
+            }
         } else {
             remove(id, "entry removed");
         }
@@ -245,32 +267,24 @@
         }
     }
 
-    /** Handles the loss of the connection to the store. */
-    public void onStoreLost() {
-        storeLost = true;
-    }
-
-    /** Handles the return of the store and starts the grace period for lapsed entries. */
-    public void onStoreRegained() {
-        storeLost = false;
-        storeRegainedAtMillis = timers.nowMillis();
-        timers.after(LAPSE_GRACE_MS, this::removeLapsed);
-    }
-
     /** Notifies the listeners that a target, or its health, has changed. */
     public void notifyListeners() {
         listeners.forEach(Runnable::run);
     }
 
     private void removeLapsed() {
-        if (storeLost || timers.nowMillis() - storeRegainedAtMillis < LAPSE_GRACE_MS) {
-            return;
+        long now = timers.nowMillis();
+        for (Map.Entry<String, Long> each : List.copyOf(lapsed.entrySet())) {
+            if (!outages.mayHaveLapsed()) {
+                remove(each.getKey(), "entry lapsed and was not renewed");
+            } else if (now - each.getValue() >= maxLapsedMillis) {
+                remove(each.getKey(), "entry removed for as long as targets drain");
+            }
         }
-        List.copyOf(lapsed).forEach(id -> remove(id, "entry lapsed and was not renewed"));
-        lapsed.clear();
     }
 
     private void remove(String id, String reason) {
+        lapsed.remove(id);
         TargetHealth known = byId.remove(id);
         if (known != null) {
             known.markRemoved();
--- a/siskinlead-core/src/main/java/org/siskinlead/core/roster/Roster.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/roster/Roster.java
@@ -10,6 +10,7 @@
 import java.util.TreeMap;
 import org.jspecify.annotations.Nullable;
 import org.siskinlead.core.freshness.Freshness;
+import org.siskinlead.core.outage.StoreOutages;
 import org.siskinlead.core.platform.LeaseStore;
 import org.siskinlead.core.platform.LeaseStore.Change;
 import org.siskinlead.core.platform.LeaseStore.Condition;
@@ -61,13 +62,12 @@
     private static final long RESEND_DELAY_MS = 600;
     /** Delay between the daemons' attempts to claim the issuer key, so that usually only one of them writes. */
     private static final long CLAIM_STAGGER_MS = 120;
-    /** Time for which entries that lapsed in a store outage stay listed, so that their daemons can register again. */
-    private static final long LAPSE_GRACE_MS = 2_300;
 
     private final RosterEntry self;
     private final LeaseStore store;
     private final Timers timers;
     private final Timeline timeline;
+    private final StoreOutages outages;
     private final Freshness leaseProof;
     private final Map<String, RosterEntry> entries = new TreeMap<>();
     /** Times at which the entries were added, by VM, in milliseconds of the monotonic clock. */
@@ -81,8 +81,6 @@
     private boolean renewing;
     private boolean leaving;
     private boolean announced;
-    private boolean storeLost;
-    private long storeRegainedAt = Long.MIN_VALUE / 2;
     private long lastRenewalAt;
     private long lastRegistrationAt = Long.MIN_VALUE / 2;
     private long issuerAbsentSince = Long.MAX_VALUE;
@@ -107,11 +105,12 @@
         void onDown(String instanceId, List<String> fingerprints, Discovery discovery);
     }
 
-    private Roster(RosterEntry self, LeaseStore store, Timers timers, Timeline timeline) {
+    private Roster(RosterEntry self, LeaseStore store, Timers timers, Timeline timeline, StoreOutages outages) {
         this.self = self;
         this.store = store;
         this.timers = timers;
         this.timeline = timeline;
+        this.outages = outages;
         this.leaseProof = Freshness.of(timers, LEASE_TTL_MS - LEASE_MARGIN_MS);
     }
 
@@ -121,10 +120,18 @@
      * @param store the platform's store
      * @param timers clock and timers
      * @param timeline receives events
+     * @param outages tells whether a missing entry may have lapsed
      * @return the roster
      */
-    public static Roster start(RosterEntry self, LeaseStore store, Timers timers, Timeline timeline) {
-        Roster roster = new Roster(self, store, timers, timeline);
+    public static Roster start(
+            RosterEntry self, LeaseStore store, Timers timers, Timeline timeline, StoreOutages outages) {
+        Roster roster = new Roster(self, store, timers, timeline, outages);
+        outages.addListener(new StoreOutages.Listener() {
+            @Override
+            public void onOutageEnded() {
+                roster.onOutageEnded();
+            }
+        });
         timers.every(TICK_INTERVAL_MS, roster::tick);
         roster.tick();
         return roster;
@@ -224,7 +231,7 @@
 
     /** Tells whether others may mistake the removal of this daemon's entry for a lapse and keep it listed. */
     private boolean mayLookLikeLapse() {
-        return storeLost || timers.nowMillis() - storeRegainedAt < 2 * LAPSE_GRACE_MS;
+        return outages.isOutage() || outages.millisSinceEnd() < 2 * StoreOutages.LAPSE_GRACE_MS;
     }
 
     /**
@@ -277,8 +284,8 @@
         if (!key.startsWith(VM_PREFIX)) {
             return;
         }
-        if (storeLost || timers.nowMillis() - storeRegainedAt < LAPSE_GRACE_MS) {
-            lapseGraceUntil.put(key, timers.nowMillis() + LAPSE_GRACE_MS);
+        if (outages.mayHaveLapsed()) {
+            lapseGraceUntil.put(key, timers.nowMillis() + StoreOutages.LAPSE_GRACE_MS);
         } else {
             removeEntry(key, "entry removed");
         }
@@ -299,19 +306,6 @@
         }
     }
 
-    /** Handles the start of a store outage: the store no longer answers this daemon. */
-    public void onStoreLost() {
-        storeLost = true;
-    }
-
-    /** Handles the end of a store outage. */
-    public void onStoreRegained() {
-        storeLost = false;
-        storeRegainedAt = timers.nowMillis();
-        lapseGraceUntil.replaceAll((key, until) -> storeRegainedAt + LAPSE_GRACE_MS);
-        tick();
-    }
-
     /**
      * Handles that the store was restored from an older snapshot. The lease is given up without ending it, since its number
      * may belong to another daemon now; a large roster spreads its new leases by name.
@@ -324,6 +318,11 @@
         timers.after(spread, this::tick);
     }
 
+    private void onOutageEnded() {
+        lapseGraceUntil.replaceAll((key, until) -> timers.nowMillis() + StoreOutages.LAPSE_GRACE_MS);
+        tick();
+    }
+
     private void tick() {
         if (leaving) {
             return;
@@ -435,7 +434,7 @@
 
     /** Removes entries whose daemons have not registered again in time; while the store is lost, none of them can. */
     private void removeLapsed() {
-        if (storeLost) {
+        if (outages.isOutage()) {
             return;
         }
         long now = timers.nowMillis();
--- a/siskinlead-core/src/test/java/org/siskinlead/core/admission/AdmissionFleet.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/admission/AdmissionFleet.java
@@ -22,6 +22,7 @@
 import org.siskinlead.core.forwarding.Reply;
 import org.siskinlead.core.forwarding.TargetResponse;
 import org.siskinlead.core.freshness.Freshness;
+import org.siskinlead.core.outage.StoreOutages;
 import org.siskinlead.core.ratelimit.TargetRateLimits;
 import org.siskinlead.core.registry.TargetHealth;
 import org.siskinlead.core.registry.TargetRegistry;
@@ -74,7 +75,7 @@
             daemons.get(index).terminateAll("restarted");
         }
         Timeline timeline = Timeline.of("vm" + index, HybridClock.of(timers::wallMillis), event -> {});
-        TargetRegistry registry = TargetRegistry.of(timers, timeline);
+        TargetRegistry registry = TargetRegistry.of(timers, timeline, StoreOutages.of(timers));
         for (int i = 0; i < FakeEngines.COUNT; i++) {
             registry.register(FakeEngines.entry(i));
         }
--- a/siskinlead-core/src/test/java/org/siskinlead/core/balancing/EngineFleet.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/balancing/EngineFleet.java
@@ -31,6 +31,7 @@
 import org.siskinlead.core.forwarding.TargetLink;
 import org.siskinlead.core.forwarding.TargetResponse;
 import org.siskinlead.core.freshness.Freshness;
+import org.siskinlead.core.outage.StoreOutages;
 import org.siskinlead.core.ratelimit.TargetRateLimits;
 import org.siskinlead.core.registry.EngineState;
 import org.siskinlead.core.registry.RegisteredTarget;
@@ -101,7 +102,7 @@
             add(dataCentre, "k160", 8, dataCentre.equals("c") ? 14 : 15);
         }
         for (int i = 0; i < daemons; i++) {
-            TargetRegistry registry = TargetRegistry.of(timers, timeline);
+            TargetRegistry registry = TargetRegistry.of(timers, timeline, StoreOutages.of(timers));
             engines.values().forEach(e -> registry.register(e.entry));
             Freshness freshness = Freshness.of(timers, Long.MAX_VALUE / 2);
             freshness.recordProof(Freshness.ClockReading.now(timers));
--- a/siskinlead-core/src/test/java/org/siskinlead/core/balancing/FreeSlotsTest.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/balancing/FreeSlotsTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.Test;
 import org.siskinlead.core.fakes.ForwardingTestBed;
 import org.siskinlead.core.fakes.ManualTimers;
+import org.siskinlead.core.outage.StoreOutages;
 import org.siskinlead.core.registry.TargetRegistry;
 import org.siskinlead.core.timeline.HybridClock;
 import org.siskinlead.core.timeline.Timeline;
@@ -16,8 +17,8 @@
 /** Tests that plain targets are drawn by free slots, latency and failures. */
 class FreeSlotsTest {
     private final ManualTimers timers = new ManualTimers();
-    private final TargetRegistry registry =
-            TargetRegistry.of(timers, Timeline.of("vm", HybridClock.of(timers::wallMillis), event -> {}));
+    private final TargetRegistry registry = TargetRegistry.of(
+            timers, Timeline.of("vm", HybridClock.of(timers::wallMillis), event -> {}), StoreOutages.of(timers));
     private final Random random = new Random(1);
 
     @BeforeEach
--- a/siskinlead-core/src/test/java/org/siskinlead/core/balancing/PathSharesCost.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/balancing/PathSharesCost.java
@@ -9,6 +9,7 @@
 import org.siskinlead.core.chains.PathFinder.MemoryCheck;
 import org.siskinlead.core.fakes.Fleets;
 import org.siskinlead.core.fakes.ManualTimers;
+import org.siskinlead.core.outage.StoreOutages;
 import org.siskinlead.core.registry.RegisteredTarget;
 import org.siskinlead.core.registry.TargetHealth;
 import org.siskinlead.core.registry.TargetRegistry;
@@ -46,8 +47,8 @@
 
     private static void measure(String layout, List<RegisteredTarget> engines) {
         ManualTimers timers = new ManualTimers();
-        TargetRegistry registry =
-                TargetRegistry.of(timers, Timeline.of("vm", HybridClock.of(timers::wallMillis), event -> {}));
+        TargetRegistry registry = TargetRegistry.of(
+                timers, Timeline.of("vm", HybridClock.of(timers::wallMillis), event -> {}), StoreOutages.of(timers));
         timers.advance(10_000);
         engines.forEach(registry::register);
         for (int load : new int[] {71, 284, 1_000, 1_400}) {
--- a/siskinlead-core/src/test/java/org/siskinlead/core/balancing/PathSharesTest.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/balancing/PathSharesTest.java
@@ -9,6 +9,7 @@
 import org.siskinlead.core.chains.HopPath;
 import org.siskinlead.core.fakes.Fleets;
 import org.siskinlead.core.fakes.ManualTimers;
+import org.siskinlead.core.outage.StoreOutages;
 import org.siskinlead.core.registry.TargetRegistry;
 import org.siskinlead.core.routing.LayerRange;
 import org.siskinlead.core.timeline.HybridClock;
@@ -20,8 +21,8 @@
     private static final int DAEMONS = 71;
 
     private final ManualTimers timers = new ManualTimers();
-    private final TargetRegistry registry =
-            TargetRegistry.of(timers, Timeline.of("vm", HybridClock.of(timers::wallMillis), event -> {}));
+    private final TargetRegistry registry = TargetRegistry.of(
+            timers, Timeline.of("vm", HybridClock.of(timers::wallMillis), event -> {}), StoreOutages.of(timers));
     private final Random random = new Random(1);
     private int plans;
     private PathShares shares = PathShares.of(timers, () -> DAEMONS, random, () -> plans++);
--- a/siskinlead-core/src/test/java/org/siskinlead/core/balancing/WaterFilling.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/balancing/WaterFilling.java
@@ -12,6 +12,7 @@
 import org.siskinlead.core.chains.PathFinder.MemoryCheck;
 import org.siskinlead.core.fakes.Fleets;
 import org.siskinlead.core.fakes.ManualTimers;
+import org.siskinlead.core.outage.StoreOutages;
 import org.siskinlead.core.registry.TargetRegistry;
 import org.siskinlead.core.timeline.HybridClock;
 import org.siskinlead.core.timeline.Timeline;
@@ -24,8 +25,8 @@
     static Map<String, Double> of(
             EngineSpec spec, Collection<EngineFleet.Engine> engines, double tokens, double inFlight) {
         ManualTimers timers = new ManualTimers();
-        TargetRegistry registry =
-                TargetRegistry.of(timers, Timeline.of("vm", HybridClock.of(timers::wallMillis), event -> {}));
+        TargetRegistry registry = TargetRegistry.of(
+                timers, Timeline.of("vm", HybridClock.of(timers::wallMillis), event -> {}), StoreOutages.of(timers));
         timers.advance(10_000);
         for (EngineFleet.Engine engine : engines) {
             if (!engine.gone) {
--- a/siskinlead-core/src/test/java/org/siskinlead/core/chains/LoadScaleTest.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/chains/LoadScaleTest.java
@@ -5,6 +5,7 @@
 import org.junit.jupiter.api.Test;
 import org.siskinlead.core.fakes.Fleets;
 import org.siskinlead.core.fakes.ManualTimers;
+import org.siskinlead.core.outage.StoreOutages;
 import org.siskinlead.core.registry.TargetHealth;
 import org.siskinlead.core.registry.TargetRegistry;
 import org.siskinlead.core.routing.LayerRange;
@@ -19,8 +20,8 @@
     private static final int DAEMONS = 4;
 
     private final ManualTimers timers = new ManualTimers();
-    private final TargetRegistry registry =
-            TargetRegistry.of(timers, Timeline.of("vm", HybridClock.of(timers::wallMillis), event -> {}));
+    private final TargetRegistry registry = TargetRegistry.of(
+            timers, Timeline.of("vm", HybridClock.of(timers::wallMillis), event -> {}), StoreOutages.of(timers));
 
     @Test
     void scalesByReportedLoadWhenOneDaemonServesMostCallers() {
--- a/siskinlead-core/src/test/java/org/siskinlead/core/chains/PathFinderCost.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/chains/PathFinderCost.java
@@ -5,6 +5,7 @@
 import org.siskinlead.core.chains.PathFinder.MemoryCheck;
 import org.siskinlead.core.fakes.Fleets;
 import org.siskinlead.core.fakes.ManualTimers;
+import org.siskinlead.core.outage.StoreOutages;
 import org.siskinlead.core.registry.TargetHealth;
 import org.siskinlead.core.registry.TargetRegistry;
 import org.siskinlead.core.routing.LayerRange;
@@ -46,8 +47,8 @@
     /** Creates engines that each hold an eighth to a fifth of the layers, as plans for small accelerators do. */
     private static List<TargetHealth> fleet(int engines) {
         ManualTimers timers = new ManualTimers();
-        TargetRegistry registry =
-                TargetRegistry.of(timers, Timeline.of("vm", HybridClock.of(timers::wallMillis), event -> {}));
+        TargetRegistry registry = TargetRegistry.of(
+                timers, Timeline.of("vm", HybridClock.of(timers::wallMillis), event -> {}), StoreOutages.of(timers));
         timers.advance(10_000);
         Random random = new Random(1);
         for (int i = 0; i < engines; i++) {
--- a/siskinlead-core/src/test/java/org/siskinlead/core/chains/PathFinderTest.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/chains/PathFinderTest.java
@@ -11,6 +11,7 @@
 import org.siskinlead.core.chains.PathFinder.MemoryCheck;
 import org.siskinlead.core.fakes.Fleets;
 import org.siskinlead.core.fakes.ManualTimers;
+import org.siskinlead.core.outage.StoreOutages;
 import org.siskinlead.core.registry.TargetHealth;
 import org.siskinlead.core.registry.TargetRegistry;
 import org.siskinlead.core.routing.LayerRange;
@@ -22,8 +23,8 @@
     private static final double TOKENS = 900;
 
     private final ManualTimers timers = new ManualTimers();
-    private final TargetRegistry registry =
-            TargetRegistry.of(timers, Timeline.of("vm", HybridClock.of(timers::wallMillis), event -> {}));
+    private final TargetRegistry registry = TargetRegistry.of(
+            timers, Timeline.of("vm", HybridClock.of(timers::wallMillis), event -> {}), StoreOutages.of(timers));
 
     @BeforeEach
     void advanceClock() {
@@ -51,8 +52,10 @@
     void findsThePathsOfAnExhaustiveSearchInRandomFleets() {
         Random random = new Random(20_261_204);
         for (int run = 0; run < 200; run++) {
-            TargetRegistry fleet =
-                    TargetRegistry.of(timers, Timeline.of("vm", HybridClock.of(timers::wallMillis), event -> {}));
+            TargetRegistry fleet = TargetRegistry.of(
+                    timers,
+                    Timeline.of("vm", HybridClock.of(timers::wallMillis), event -> {}),
+                    StoreOutages.of(timers));
             int engines = 2 + random.nextInt(40);
             for (int i = 0; i < engines; i++) {
                 int from = random.nextInt(5) == 0 ? 0 : random.nextInt(79);
--- a/siskinlead-core/src/test/java/org/siskinlead/core/fakes/ForwardingTestBed.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/fakes/ForwardingTestBed.java
@@ -15,6 +15,7 @@
 import org.siskinlead.core.forwarding.Forwarder;
 import org.siskinlead.core.forwarding.IncomingRequest;
 import org.siskinlead.core.freshness.Freshness;
+import org.siskinlead.core.outage.StoreOutages;
 import org.siskinlead.core.ratelimit.TargetRateLimits;
 import org.siskinlead.core.registry.RegisteredTarget;
 import org.siskinlead.core.registry.TargetRegistry;
@@ -30,7 +31,8 @@
 
     public final ManualTimers timers = new ManualTimers();
     public final Timeline timeline = Timeline.of("vm", HybridClock.of(timers::wallMillis), event -> {});
-    public final TargetRegistry registry = TargetRegistry.of(timers, timeline);
+    public final StoreOutages outages = StoreOutages.untilFirstAnswer(timers);
+    public final TargetRegistry registry = TargetRegistry.of(timers, timeline, outages);
     public final FakeTargetLink link = new FakeTargetLink(timers);
     public final TargetRateLimits rateLimits = TargetRateLimits.of("vm", List::of, timers, timeline);
     public final Freshness freshness = Freshness.of(timers, MAX_PROOF_AGE_MS);
@@ -57,7 +59,7 @@
                 new Random(1));
         forwarder.setDownNoticePublisher((instanceId, fingerprints) -> published.add(instanceId));
         timers.advance(5_000);
-        registry.onStoreRegained();
+        outages.onAnswered();
         timers.advance(5_000);
         for (int i = 0; i < 3; i++) {
             registry.register(plain("p" + i));
--- a/siskinlead-core/src/test/java/org/siskinlead/core/fakes/WarmingFleet.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/fakes/WarmingFleet.java
@@ -10,6 +10,7 @@
 import java.util.function.Supplier;
 import org.siskinlead.core.forwarding.Forwarder;
 import org.siskinlead.core.freshness.Freshness;
+import org.siskinlead.core.outage.StoreOutages;
 import org.siskinlead.core.pacing.Pacing;
 import org.siskinlead.core.ratelimit.TargetRateLimits;
 import org.siskinlead.core.registry.RegisteredTarget;
@@ -58,7 +59,7 @@
     /** Starts a daemon that lists the targets registered so far. */
     public void addDaemon(String vm, Supplier<Collection<String>> roster) {
         Timeline timeline = Timeline.of(vm, HybridClock.of(timers::wallMillis), event -> {});
-        TargetRegistry registry = TargetRegistry.of(timers, timeline);
+        TargetRegistry registry = TargetRegistry.of(timers, timeline, StoreOutages.of(timers));
         if (paced) {
             registry.setPacing(Pacing.of(vm, roster, timers, timeline));
         }
--- a/siskinlead-core/src/test/java/org/siskinlead/core/gateway/GatewayTest.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/gateway/GatewayTest.java
@@ -212,6 +212,7 @@
                 new RetryBudgetShare.Budget(0.2, 40, 10_000),
                 new EraGuard.Settings(4_000, EraGuard.Start.LATER),
                 2_000,
+                2_000,
                 Set.of());
         Gateway leaving = start("vm2", settings);
         boolean[] done = new boolean[1];
--- a/siskinlead-core/src/test/java/org/siskinlead/core/roster/RosterTest.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/roster/RosterTest.java
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.Test;
 import org.siskinlead.core.fakes.FakeLeaseStore;
 import org.siskinlead.core.fakes.ManualTimers;
+import org.siskinlead.core.outage.StoreOutages;
 import org.siskinlead.core.timeline.HybridClock;
 import org.siskinlead.core.timeline.Timeline;
 
@@ -16,6 +17,7 @@
     private final ManualTimers timers = new ManualTimers();
     private final FakeLeaseStore store = new FakeLeaseStore(timers);
     private final List<Roster> rosters = new ArrayList<>();
+    private final List<StoreOutages> outages = new ArrayList<>();
     private final List<FakeLeaseStore.Client> clients = new ArrayList<>();
 
     @BeforeEach
@@ -30,7 +32,9 @@
     private void start(String vm) {
         FakeLeaseStore.Client client = store.client();
         Timeline timeline = Timeline.of(vm, HybridClock.of(timers::wallMillis), event -> {});
-        Roster roster = Roster.start(new RosterEntry(vm, vm + ":1", "east"), client, timers, timeline);
+        StoreOutages seen = StoreOutages.of(timers);
+        outages.add(seen);
+        Roster roster = Roster.start(new RosterEntry(vm, vm + ":1", "east"), client, timers, timeline, seen);
         clients.add(client);
         rosters.add(roster);
         store.attach(roster);
@@ -50,10 +54,10 @@
     void registersAgainWhenTheStoreHasLostEverythingAndNumbersLeasesAnew() {
         store.restoreEmpty();
         for (Roster roster : rosters) {
-            roster.onStoreLost();
+            outages.get(rosters.indexOf(roster)).begin("timed out");
             roster.onStoreRestored();
             roster.retainKeys(List.of());
-            roster.onStoreRegained();
+            outages.get(rosters.indexOf(roster)).onAnswered();
             assertThat(roster.mayIssueOrders()).isFalse();
         }
         timers.advance(1_000);
@@ -74,11 +78,11 @@
         store.restoreEmpty();
         store.mode = FakeLeaseStore.Mode.UNAVAILABLE;
         for (Roster roster : rosters) {
-            roster.onStoreLost();
+            outages.get(rosters.indexOf(roster)).begin("timed out");
             roster.onStoreRestored();
             roster.retainKeys(List.of());
-            roster.onStoreRegained();
-            roster.onStoreLost();
+            outages.get(rosters.indexOf(roster)).onAnswered();
+            outages.get(rosters.indexOf(roster)).begin("timed out");
         }
         timers.advance(8_000);
         for (Roster roster : rosters) {
@@ -86,7 +90,7 @@
         }
 
         store.mode = FakeLeaseStore.Mode.WORKING;
-        rosters.forEach(Roster::onStoreRegained);
+        outages.forEach(StoreOutages::onAnswered);
         timers.advance(6_000);
         for (Roster roster : rosters) {
             assertThat(roster.entries()).hasSize(3);
@@ -127,10 +131,10 @@
     @Test
     void recoversWithinTwoSecondsAfterAStoreOutageThatEndedTheLeases() {
         store.mode = FakeLeaseStore.Mode.UNAVAILABLE;
-        rosters.forEach(Roster::onStoreLost);
+        outages.forEach(o -> o.begin("timed out"));
         timers.advance(8_000);
         store.mode = FakeLeaseStore.Mode.WORKING;
-        rosters.forEach(Roster::onStoreRegained);
+        outages.forEach(StoreOutages::onAnswered);
         timers.advance(1_800);
 
         for (Roster roster : rosters) {
@@ -141,8 +145,8 @@
 
     @Test
     void keepsListingDaemonsWhoseEntriesLapsedInAStoreOutage() {
-        rosters.forEach(Roster::onStoreLost);
-        rosters.forEach(Roster::onStoreRegained);
+        outages.forEach(o -> o.begin("timed out"));
+        outages.forEach(StoreOutages::onAnswered);
         for (Roster roster : rosters) {
             roster.onKeyRemoved("siskinlead/vm/vm0");
             assertThat(roster.entries()).hasSize(3);
@@ -151,8 +155,8 @@
 
     @Test
     void doesNotMistakeALeaveSoonAfterAStoreOutageForALapse() {
-        rosters.forEach(Roster::onStoreLost);
-        rosters.forEach(Roster::onStoreRegained);
+        outages.forEach(o -> o.begin("timed out"));
+        outages.forEach(StoreOutages::onAnswered);
 
         rosters.get(0).leave();
         timers.advance(200);
