Evidence about whole requests that crash targets outlives all daemons

Callers saw: a request that crashes its targets, repeated every 11 s, brought down two more after each restart of all daemons, and other callers' requests with them.

Cause: whole requests had a mechanism of their own, CrashSuspects, that kept its evidence in memory and in down notices whose lease ends with the daemon. CrashReports, which have no lease, left out requests without shared prompt parts.

Ruled out: reports written too late (they are in the store within milliseconds), a start that does not read them (nothing was left to read), the end of the memory of 60 s (repeats after 11 s).

Fix: whole requests are traits of CrashAttribution and are reported by CrashReports. CrashSuspects is removed; feeding it more evidence would have blocked every request that was running at two crashes. A sound end clears a request; others are told only once it was running at two crashes, so that an ordinary crash costs one report for each daemon with a suspect. Requests that cannot be told apart are blocked from the third crash. A blocked request is tried once, after 20 s, so that a wrong block ends.

--- a/siskinlead-core/src/main/java/org/siskinlead/core/crash/CrashAttribution.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/crash/CrashAttribution.java
@@ -1,12 +1,10 @@
 package org.siskinlead.core.crash;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -22,8 +20,12 @@
 public final class CrashAttribution {
     /** Crashes after which a trait can be blocked. */
     private static final int MIN_CRASHES = 2;
+    /** Crashes after which requests are blocked that were running at the same crashes and cannot be told apart. */
+    private static final int MIN_CRASHES_OF_SIMILAR_REQUESTS = 3;
     /** Crashes after which a blocked trait gets no further trial. */
     private static final int MAX_CRASHES_FOR_TRIAL = 5;
+
+    private static final int MAX_CRASHES_FOR_TRIAL_OF_REQUEST = 2;
     /** Time from the last crash to the first trial of a blocked trait; each later one waits three times as long. */
     private static final long FIRST_TRIAL_DELAY_MS = 20_000;
 
@@ -37,6 +39,10 @@
     private static final double PRIOR_STARTS = 50;
 
     private static final double PRIOR_STARTS_OF_TRAIT = 0.5;
+    /** The same for whole requests, of which most are rare. */
+    private static final double PRIOR_STARTS_OF_REQUESTS = 1_000;
+
+    private static final int MAX_COUNTED_REQUESTS = 5_000;
     private static final double TIE = 1e-9;
 
     private final Timers timers;
@@ -44,15 +50,17 @@
     private final Map<String, Crash> crashes = new LinkedHashMap<>();
     private final Map<String, String> crashByAttempt = new HashMap<>();
     private final Map<String, Set<String>> clearedByTrait = new HashMap<>();
-    private final Map<String, Integer> startsByTrait = new LinkedHashMap<>(16, 0.75f, true) {
-        private static final long serialVersionUID = 1;
+    /** The part of {@code clearedByTrait} that was observed here, for whole requests. */
+    private final Map<String, Set<String>> clearedHere = new HashMap<>();
+    /** Number of crashes at which a trait was a suspect, cleared of them or not. */
+    private final Map<String, Integer> crashCountByTrait = new HashMap<>();
 
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Integer> eldest) {
-            return size() > MAX_COUNTED_TRAITS;
-        }
-    };
+    private final Map<String, Integer> startsByTrait = bounded(MAX_COUNTED_TRAITS);
     private long startCount;
+    /** Starts of whole requests, counted while any crash is remembered. */
+    private final Map<String, Integer> startsByRequest = bounded(MAX_COUNTED_REQUESTS);
+
+    private long requestStartCount;
     /** For each blocked trait, the traits from which it cannot be told apart, itself included. */
     private Map<String, Set<String>> blocked = Map.of();
 
@@ -91,6 +99,14 @@
 
     // Queries
 
+    /**
+     * Checks whether any crash is remembered.
+     * @return true if the traits of whole requests are of interest
+     */
+    public boolean hasCrashes() {
+        return !crashes.isEmpty();
+    }
+
     /**
      * Checks whether any trait is blocked.
      * @return true if {@link #isBlocked} can be true
@@ -141,8 +157,7 @@
             if (!isBlockedWith(trait, traits)) {
                 continue;
             }
-            if (blocked.getOrDefault(trait, Set.of()).stream().anyMatch(Suspect::isRequest)
-                    || timers.nowMillis() < trialDueAt(trait)) {
+            if (isPartOrRequest(blocked.getOrDefault(trait, Set.of())) || timers.nowMillis() < trialDueAt(trait)) {
                 return Optional.empty();
             }
             return Optional.of(new Trial(trait, crashesAccusing(trait).size()));
@@ -150,6 +165,11 @@
         return Optional.empty();
     }
 
+    /** Tells whether traits that cannot be told apart are a request and its parts, of which a trial would clear only the parts. */
+    private static boolean isPartOrRequest(Set<String> alike) {
+        return alike.stream().anyMatch(Suspect::isRequest) && !alike.stream().allMatch(Suspect::isRequest);
+    }
+
     /**
      * Gets the time to the next trial of a blocked request.
      * @param traits traits of the request
@@ -165,7 +185,8 @@
 
     private long trialDueAt(String trait) {
         Set<String> accusing = crashesAccusing(trait);
-        if (accusing.size() > MAX_CRASHES_FOR_TRIAL) {
+        int maxCrashes = Suspect.isRequest(trait) ? MAX_CRASHES_FOR_TRIAL_OF_REQUEST : MAX_CRASHES_FOR_TRIAL;
+        if (accusing.size() > maxCrashes) {
             return Long.MAX_VALUE;
         }
         long lastAt = accusing.stream()
@@ -186,11 +207,12 @@
      * Records a crash. Reports of several daemons about the same crash add up.
      * @param instanceId instance of the target
      * @param suspects requests that may have caused it
+     * @return earlier crashes of which suspected requests have been cleared here, by trait, which others must know now
      */
-    public void onCrash(String instanceId, Collection<Suspect> suspects) {
+    public Map<String, Set<String>> onCrash(String instanceId, Collection<Suspect> suspects) {
         expire();
         if (suspects.isEmpty()) {
-            return;
+            return Map.of();
         }
         Crash crash = crashes.computeIfAbsent(instanceId, id -> new Crash(timers.nowMillis()));
         for (Suspect suspect : suspects) {
@@ -198,39 +220,80 @@
             String first = crashByAttempt.putIfAbsent(suspect.attempt(), instanceId);
             if (first == null || first.equals(instanceId)) {
                 crash.attempts.add(suspect.attempt());
-                crash.traits.addAll(suspect.traits());
+                for (String trait : suspect.traits()) {
+                    if (crash.traits.add(trait)) {
+                        crashCountByTrait.merge(trait, 1, Integer::sum);
+                    }
+                }
             }
         }
         evaluate();
+        Map<String, Set<String>> cleared = new HashMap<>();
+        for (String trait : crash.traits) {
+            Set<String> here = clearedHere.get(trait);
+            if (here != null && isRepeatedSuspect(trait)) {
+                cleared.put(trait, Set.copyOf(here));
+            }
+        }
+        return cleared;
+    }
+
+    private boolean isRepeatedSuspect(String trait) {
+        return crashCountByTrait.getOrDefault(trait, 0) >= MIN_CRASHES;
     }
 
     /**
-     * Records that a target has written a part of an answer and lives.
-     * @param traits traits of the request
+     * Records that a target has written a part of an answer, or all of it, and lives.
+     * @param traits traits of the request; the request as a whole may be left out while no crash is remembered
      * @return the crashes of which each accused trait is cleared, by trait; empty if none was under serious suspicion
      */
     public Map<String, Set<String>> onStarted(Collection<String> traits) {
-        startCount++;
         Map<String, Set<String>> cleared = new HashMap<>();
+        boolean changed = false;
+        expire();
+        countStart(traits);
         for (String trait : traits) {
-            startsByTrait.merge(trait, 1, Integer::sum);
-            if (crashes.isEmpty()) {
+            if (!crashCountByTrait.containsKey(trait)) {
                 continue;
             }
             Set<String> accusing = crashesAccusing(trait);
-            if (score(trait, accusing) >= weight.threshold() / 2) {
-                cleared.put(trait, accusing);
+            if (accusing.isEmpty()) {
+                continue;
             }
-            if (!accusing.isEmpty()) {
-                clearedByTrait.computeIfAbsent(trait, t -> new HashSet<>()).addAll(accusing);
+            // All others need to know of it only once the trait is under serious suspicion.
+            if (Suspect.isRequest(trait)) {
+                clearedHere.computeIfAbsent(trait, t -> new HashSet<>()).addAll(accusing);
+                if (isRepeatedSuspect(trait)) {
+                    cleared.put(trait, accusing);
+                }
+            } else if (score(trait, accusing) >= weight.threshold() / 2) {
+                cleared.put(trait, accusing);
             }
+            changed |= cleared.containsKey(trait) || blocked.containsKey(trait);
+            clearedByTrait.computeIfAbsent(trait, t -> new HashSet<>()).addAll(accusing);
         }
-        if (!cleared.isEmpty()) {
+        if (changed) {
             evaluate();
         }
         return cleared;
     }
 
+    private void countStart(Collection<String> traits) {
+        boolean hasPart = false;
+        for (String trait : traits) {
+            if (Suspect.isRequest(trait)) {
+                startsByRequest.merge(trait, 1, Integer::sum);
+                requestStartCount++;
+            } else {
+                startsByTrait.merge(trait, 1, Integer::sum);
+                hasPart = true;
+            }
+        }
+        if (hasPart) {
+            startCount++;
+        }
+    }
+
     /**
      * Records that another daemon has cleared a trait of crashes.
      * @param trait the trait
@@ -257,7 +320,11 @@
             Set<String> unexplained = new HashSet<>(ids);
             unexplained.removeIf(id -> hasBetterExplanation(id, trait, scores));
             if (unexplained.size() >= MIN_CRASHES && score(trait, unexplained) >= weight.threshold()) {
-                convicted.put(trait, alike(trait, accusing, scores));
+                Set<String> alike = alike(trait, accusing, scores);
+                // A request has one such trait, and so never all of those that cannot be told apart.
+                convicted.put(
+                        trait,
+                        ids.size() < MIN_CRASHES_OF_SIMILAR_REQUESTS ? alike : withoutOtherRequests(trait, alike));
             }
         });
         blocked = convicted;
@@ -280,8 +347,21 @@
         return alike;
     }
 
+    private static Set<String> withoutOtherRequests(String trait, Set<String> alike) {
+        Set<String> kept = new HashSet<>(alike);
+        kept.removeIf(other -> Suspect.isRequest(other) && !other.equals(trait));
+        return kept;
+    }
+
+    private double share(String trait) {
+        return Suspect.isRequest(trait)
+                ? (startsByRequest.getOrDefault(trait, 0) + PRIOR_STARTS_OF_TRAIT)
+                        / (requestStartCount + PRIOR_STARTS_OF_REQUESTS)
+                : (startsByTrait.getOrDefault(trait, 0) + PRIOR_STARTS_OF_TRAIT) / (startCount + PRIOR_STARTS);
+    }
+
     private double score(String trait, Set<String> instanceIds) {
-        double share = (startsByTrait.getOrDefault(trait, 0) + PRIOR_STARTS_OF_TRAIT) / (startCount + PRIOR_STARTS);
+        double share = share(trait);
         double sum = 0;
         for (String id : instanceIds) {
             Crash crash = crashes.get(id);
@@ -305,20 +385,47 @@
     }
 
     private void expire() {
-        List<String> expired = new ArrayList<>();
         Iterator<Map.Entry<String, Crash>> oldestFirst = crashes.entrySet().iterator();
         while (oldestFirst.hasNext()) {
             Map.Entry<String, Crash> entry = oldestFirst.next();
             if (crashes.size() <= MAX_CRASHES && timers.nowMillis() - entry.getValue().at < CRASH_TTL_MS) {
                 break;
             }
-            expired.add(entry.getKey());
-            entry.getValue().attempts.forEach(crashByAttempt::remove);
             oldestFirst.remove();
+            forget(entry.getKey(), entry.getValue());
         }
-        if (!expired.isEmpty()) {
-            clearedByTrait.values().forEach(ids -> expired.forEach(ids::remove));
-            clearedByTrait.values().removeIf(Set::isEmpty);
+    }
+
+    private void forget(String instanceId, Crash crash) {
+        crash.attempts.forEach(crashByAttempt::remove);
+        for (String trait : crash.traits) {
+            crashCountByTrait.computeIfPresent(trait, (t, count) -> count > 1 ? count - 1 : null);
+            removeFrom(clearedByTrait, trait, instanceId);
+            removeFrom(clearedHere, trait, instanceId);
+        }
+        if (crashes.isEmpty()) {
+            clearedByTrait.clear();
+            clearedHere.clear();
+            startsByRequest.clear();
+            requestStartCount = 0;
         }
     }
+
+    private static void removeFrom(Map<String, Set<String>> byTrait, String trait, String instanceId) {
+        byTrait.computeIfPresent(trait, (t, ids) -> {
+            ids.remove(instanceId);
+            return ids.isEmpty() ? null : ids;
+        });
+    }
+
+    private static <V> Map<String, V> bounded(int maxEntries) {
+        return new LinkedHashMap<>(16, 0.75f, true) {
+            private static final long serialVersionUID = 1;
+
+            @Override
+            protected boolean removeEldestEntry(Map.Entry<String, V> eldest) {
+                return size() > maxEntries;
+            }
+        };
+    }
 }
--- a/siskinlead-core/src/main/java/org/siskinlead/core/crash/CrashReports.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/crash/CrashReports.java
@@ -40,6 +40,9 @@
 
     private static final long MAX_CLEARANCE_SPREAD_MS = 1_000;
     private static final int MAX_SUSPECTS = 64;
+    /** Crashes whose reports of this daemon are kept in the store; more than happen before they expire. */
+    private static final int MAX_OWN_REPORTS = 200;
+
     private static final String FIELD_SEPARATOR = "\t";
     private static final String LINE_SEPARATOR = "\n";
 
@@ -114,14 +117,31 @@
      * Reports suspects of a crash, in addition to those reported before.
      * @param instanceId instance of the target that crashed
      * @param suspects requests of this daemon that may have caused it
+     * @return false if all of them were reported before
      */
-    public void reportCrash(String instanceId, Collection<Suspect> suspects) {
+    public boolean reportCrash(String instanceId, Collection<Suspect> suspects) {
         Set<Suspect> all = ownSuspects.computeIfAbsent(instanceId, id -> new LinkedHashSet<>());
         if (!all.addAll(suspects)) {
-            return;
+            return false;
         }
         timers.after(CrashAttribution.CRASH_TTL_MS, () -> ownSuspects.remove(instanceId));
         writeSuspects(instanceId, all);
+        if (ownSuspects.size() > MAX_OWN_REPORTS) {
+            withdraw(ownSuspects.keySet().iterator().next());
+        }
+        return true;
+    }
+
+    /**
+     * Removes what this daemon has reported about an instance.
+     * @param instanceId instance of a target
+     */
+    public void withdraw(String instanceId) {
+        if (ownSuspects.remove(instanceId) != null) {
+            String key = SUSPECTS_PREFIX + instanceId + "/" + vm;
+            versionByKey.merge(key, 1L, Long::sum);
+            store.commit(List.of(), List.of(new Change(key, null, 0)), outcome -> {});
+        }
     }
 
     /**
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/AbstractForwardedCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/AbstractForwardedCall.java
@@ -44,9 +44,6 @@
     @Nullable
     Attempt attempt;
 
-    /** The current attempt as a suspect of crashes; null once it is proven not to cause one, or without prompt parts. */
-    private @Nullable Suspect suspect;
-
     private boolean done;
     /** Why the last attempt failed, empty before one has. */
     String lastFailure = "";
@@ -83,13 +80,12 @@
         return current != null && current.usesInstance(instanceId);
     }
 
-    final @Nullable Suspect suspect() {
-        return suspect;
-    }
-
     @Override
     public final Optional<Suspect> suspectOn(String instanceId) {
-        return usesInstance(instanceId) ? Optional.ofNullable(suspect) : Optional.empty();
+        Attempt current = attempt;
+        return current == null || !current.usesInstance(instanceId)
+                ? Optional.empty()
+                : Optional.ofNullable(current.suspect());
     }
 
     @Override
@@ -274,29 +270,19 @@
         return true;
     }
 
-    final void onAttemptBegun() {
-        suspect = admitted.request().sharedPromptParts().isEmpty()
-                ? null
-                : context.crashWatch().newSuspect(admitted);
-    }
-
-    /** Records that the target of the current attempt lives on after it began to write. */
-    final void onProven() {
-        if (suspect != null) {
-            suspect = null;
-            context.crashWatch().onStarted(admitted);
-        }
-    }
-
     @Override
     public final void endIfBlocked() {
-        if (!done
-                && (attempt == null || suspect != null)
-                && context.crashWatch().isBlocked(admitted)) {
+        if (!done && mayEndAsSuspect() && context.crashWatch().isBlocked(admitted)) {
             endAsSuspect();
         }
     }
 
+    /** A request without shared parts that runs already goes on, since its sound end clears the same request elsewhere. */
+    private boolean mayEndAsSuspect() {
+        Attempt current = attempt;
+        return current == null || (!admitted.parts().isEmpty() && current.suspect() != null);
+    }
+
     @Override
     public final void endIfAccusedBesides(String instanceId) {
         if (!done && !hasDelivered() && context.crashWatch().isAccusedBesides(admitted, instanceId)) {
@@ -312,11 +298,12 @@
             sendHistory.onMayHaveRun();
         }
         if (sendHistory.sendCount() == 0) {
-            end(Ending.NOT_RUN, "blocked", RefusalCode.PROMPT_PART_BLOCKED.status());
-            context.counters().incrementRefusals(RefusalCode.PROMPT_PART_BLOCKED);
-            reply.refuse(context.crashWatch().refusal(admitted, admitted.remainingMillis(context.timers())));
+            Refusal refusal = context.crashWatch().refusal(admitted, admitted.remainingMillis(context.timers()));
+            end(Ending.NOT_RUN, "blocked", refusal.code().status());
+            context.counters().incrementRefusals(refusal.code());
+            reply.refuse(refusal);
         } else {
-            giveUp(Ending.SUSPECTED, CrashWatch.BLOCKED_DETAIL);
+            giveUp(Ending.SUSPECTED, context.crashWatch().blockedDetail(admitted));
         }
     }
 
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/Attempt.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/Attempt.java
@@ -6,6 +6,7 @@
 import org.siskinlead.core.admission.SendWindow;
 import org.siskinlead.core.chains.Hop;
 import org.siskinlead.core.chains.HopPath;
+import org.siskinlead.core.crash.Suspect;
 import org.siskinlead.core.registry.TargetHealth;
 import org.siskinlead.core.timeline.EventKind;
 
@@ -25,6 +26,12 @@
     private boolean ended;
     private long sentAt;
     private boolean answering;
+    /** Whether the target has answered with something else than the answer to a request that it runs. */
+    private boolean refused;
+    /** Whether the targets have shown that they survive the request. */
+    private boolean proven;
+
+    private @Nullable Suspect suspect;
     private int level;
     private @Nullable SendWindow window;
 
@@ -76,6 +83,18 @@
         return sentAt;
     }
 
+    /** Gets the send as a suspect of a crash; null once the targets have survived it or refused it. */
+    @Nullable
+    Suspect suspect() {
+        if (proven || refused) {
+            return null;
+        }
+        if (suspect == null) {
+            suspect = context.crashWatch().newSuspect(admitted);
+        }
+        return suspect;
+    }
+
     long elapsedMillis() {
         return context.timers().nowMillis() - sentAt;
     }
@@ -153,9 +172,18 @@
         }
     }
 
+    /** Records that the targets live on after they have run the request, or begun to write its answer. */
+    void onProven() {
+        if (!proven) {
+            proven = true;
+            context.crashWatch().onProven(admitted);
+        }
+    }
+
     @Override
     public void onHead(TargetResponse response) {
         if (!ended) {
+            refused = !response.isSuccess() || !response.isAuthentic();
             reportCapacity(response);
             owner.onHead(this, response);
         }
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/BufferedCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/BufferedCall.java
@@ -86,7 +86,6 @@
         sendHistory.onSent(choice.get().target());
         Attempt next = new Attempt(context, admitted, choice.get(), this);
         attempt = next;
-        onAttemptBegun();
         if (admitted.route().kind() == RouteKind.SAFE) {
             headTimeout = context.timers().after(headTimeoutMillis(choice.get().target()), () -> onHeadTimeout(next));
         }
@@ -150,6 +149,7 @@
             handleFailure(from, LinkFailure.MALFORMED);
             return;
         }
+        from.onProven();
         sendHistory.onMayHaveRun();
         if (response.isServerError()) {
             from.target().onFailure();
@@ -205,7 +205,7 @@
             sendHistory.onMayHaveRun();
             target.onFailure();
             if (failure == LinkFailure.BROKEN) {
-                context.prober().onConnectionBroken(target, admitted, suspect());
+                context.prober().onConnectionBroken(target, admitted, from.suspect());
             }
         } else {
             sendHistory.onConnectFailure(target);
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/CrashWatch.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/CrashWatch.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.Consumer;
@@ -21,7 +22,9 @@
  * that they do not, and which are blocked.
  */
 final class CrashWatch {
-    static final String BLOCKED_DETAIL = "targets crashed while they ran requests with a part of this prompt";
+    private static final String PART_DETAIL = "targets crashed while they ran requests with a part of this prompt";
+    private static final String REQUEST_DETAIL = "targets crashed while running this request";
+    private static final String NOTICE_PREFIX = "notice-";
     /** Odds at which a trait is blocked. */
     private static final double BLOCKING_ODDS = 200;
     /** Shortest time after which the caller of a blocked request may try again. */
@@ -34,6 +37,14 @@
     private long attempts;
     private Set<String> loggedBlocked = Set.of();
 
+    /** What shows that a target has crashed. */
+    enum Evidence {
+        /** It refuses connections, or another instance answers. */
+        DOWN,
+        /** Another daemon has reported it. */
+        REPORTED
+    }
+
     CrashWatch(Timers timers, Timeline timeline, String attemptPrefix) {
         this.timeline = timeline;
         this.attribution = CrashAttribution.of(timers, CrashWeight.likelihoodRatio(BLOCKING_ODDS));
@@ -56,11 +67,16 @@
         return attribution.isAccusedBesides(request.parts(), instanceId);
     }
 
+    /** Says why a blocked request is not sent. */
+    String blockedDetail(AdmittedRequest request) {
+        return request.parts().isEmpty() ? REQUEST_DETAIL : PART_DETAIL;
+    }
+
     /** Creates the refusal of a blocked request, which asks the caller to wait for the next trial as far as it has time. */
     Refusal refusal(AdmittedRequest request, long callerLeftMillis) {
         return Refusal.notRun(
-                RefusalCode.PROMPT_PART_BLOCKED,
-                BLOCKED_DETAIL,
+                request.parts().isEmpty() ? RefusalCode.TARGET_CRASHES : RefusalCode.PROMPT_PART_BLOCKED,
+                blockedDetail(request),
                 RetryAfter.within(
                         Math.max(MIN_RETRY_AFTER_MS, attribution.millisToTrial(request.traits())), callerLeftMillis));
     }
@@ -72,48 +88,57 @@
         return new Suspect(attemptPrefix + attempts++, request.traits());
     }
 
-    /** Records that a target lives on after it has begun to write the answer to a request. */
-    void onStarted(AdmittedRequest request) {
-        if (request.parts().isEmpty()) {
+    /**
+     * Describes requests as suspects by the fingerprints that a notice of another daemon names. The daemon's report of the
+     * same crash names them as well, so that they count once for each notice.
+     */
+    static List<Suspect> suspectsOf(String instanceId, Collection<String> fingerprints) {
+        return fingerprints.stream()
+                .map(f -> new Suspect(NOTICE_PREFIX + instanceId + "-" + f, Set.of(Suspect.request(f))))
+                .toList();
+    }
+
+    /** Records that targets have survived a request: they have answered it, or lived on after they began to. */
+    void onProven(AdmittedRequest request) {
+        if (request.parts().isEmpty() && !attribution.hasCrashes()) {
             return;
         }
-        attribution.onStarted(request.parts()).forEach((trait, instanceIds) -> {
-            CrashReports exchange = reports;
-            if (exchange != null) {
-                exchange.reportCleared(trait, instanceIds);
-            }
-        });
+        reportCleared(attribution.onStarted(attribution.hasCrashes() ? request.traits() : request.parts()));
         logBlocked();
     }
 
     /** Records a crash and reports it to the other daemons. */
-    void onOwnCrash(String instanceId, Collection<Suspect> suspects) {
-        List<Suspect> withParts =
-                suspects.stream().filter(s -> s.traits().size() > 1).toList();
-        if (withParts.isEmpty()) {
+    void onOwnCrash(String instanceId, Collection<Suspect> suspects, Evidence evidence) {
+        CrashReports exchange = reports;
+        if (suspects.isEmpty() || (exchange != null && !exchange.reportCrash(instanceId, suspects))) {
             return;
         }
         timeline.record(
                 EventKind.CRASH_SUSPECT_REPORTED,
                 "target",
                 instanceId,
+                "evidence",
+                evidence,
                 "suspects",
-                withParts.size(),
+                suspects.size(),
                 "traits",
-                allTraits(withParts));
-        CrashReports exchange = reports;
-        if (exchange != null) {
-            exchange.reportCrash(instanceId, withParts);
-        }
-        onCrash(instanceId, withParts);
+                allTraits(suspects));
+        onCrash(instanceId, suspects);
     }
 
     /** Records suspects that another daemon has reported. */
     void onCrash(String instanceId, Collection<Suspect> suspects) {
-        attribution.onCrash(instanceId, suspects);
+        reportCleared(attribution.onCrash(instanceId, suspects));
         logBlocked();
     }
 
+    private void reportCleared(Map<String, Set<String>> cleared) {
+        CrashReports exchange = reports;
+        if (exchange != null) {
+            cleared.forEach(exchange::reportCleared);
+        }
+    }
+
     /** Records that another daemon has cleared a trait. */
     void onCleared(String trait, Collection<String> instanceIds) {
         attribution.onCleared(trait, instanceIds);
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/Forwarder.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/Forwarder.java
@@ -377,10 +377,6 @@
     }
 
     private void acceptUnlessSuspected(AdmittedRequest admitted, Reply reply, Handle handle) {
-        if (!context.suspects().isEmpty() && context.suspects().isBlocked(admitted.fingerprint())) {
-            refuse(admitted.request(), reply, RefusalCode.TARGET_CRASHES, "targets crashed while running this request");
-            return;
-        }
         if (context.crashWatch().isBlocked(admitted)) {
             tryOrRefuse(admitted, reply, handle);
             return;
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/ForwardingContext.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/ForwardingContext.java
@@ -5,7 +5,6 @@
 import org.siskinlead.core.admission.Admission;
 import org.siskinlead.core.ratelimit.TargetRateLimits;
 import org.siskinlead.core.registry.TargetRegistry;
-import org.siskinlead.core.retry.CrashSuspects;
 import org.siskinlead.core.retrybudget.RetryBudgetShare;
 import org.siskinlead.core.time.Timers;
 import org.siskinlead.core.timeline.Timeline;
@@ -17,7 +16,6 @@
         TargetRegistry registry,
         TargetLink link,
         RetryBudgetShare retryBudget,
-        CrashSuspects suspects,
         CrashWatch crashWatch,
         TargetProber prober,
         TargetRateLimits rateLimits,
@@ -49,7 +47,6 @@
                 registry,
                 metered,
                 retryBudget,
-                CrashSuspects.of(timers),
                 new CrashWatch(timers, timeline, Long.toHexString(random.nextLong()) + "-"),
                 new TargetProber(timers, timeline, registry, metered, counters, daemonCount),
                 rateLimits,
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/SendHistory.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/SendHistory.java
@@ -102,9 +102,7 @@
         if ((mayHaveRun && !admitted.route().isIdempotent()) || (admitted.isTrial() && sendCount > 0)) {
             return false;
         }
-        return connectFailures < MAX_CONNECT_FAILURES
-                && !context.suspects().isBlocked(admitted.fingerprint())
-                && !context.crashWatch().isBlocked(admitted);
+        return connectFailures < MAX_CONNECT_FAILURES && !context.crashWatch().isBlocked(admitted);
     }
 
     // Commands
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamingCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/StreamingCall.java
@@ -84,7 +84,6 @@
         Attempt next = new Attempt(context, admitted, choice.get(), this);
         attempt = next;
         runs.begin(next);
-        onAttemptBegun();
         timing.onSent();
         next.start(sendHistory.sendCount(), lastEventId, priority());
         return true;
@@ -208,7 +207,7 @@
         sendHistory.onMayHaveRun();
         // A target that has written for as long as its longest pause may be lives on.
         if (timing.hasWrittenFor(admitted.eventGapObjectiveMillis())) {
-            onProven();
+            from.onProven();
             context.streamPace().onEvents(admitted.service().name(), timing.averageGapMillis());
         }
     }
@@ -229,7 +228,7 @@
         } else {
             prefer(from);
             startIfNeeded(source);
-            onProven();
+            from.onProven();
             context.counters().increment(Count.STREAMS_COMPLETE);
             context.counters().recordLatency(Latency.FIRST_EVENT, timing.firstEventMillis());
             context.counters().recordLatency(Latency.LONGEST_PAUSE, timing.longestPauseMillis());
@@ -258,7 +257,7 @@
                 sendHistory.exclude(from.target().entry().instanceId());
             }
             if (failure == LinkFailure.BROKEN) {
-                context.prober().onConnectionBroken(from.target(), admitted, suspect());
+                context.prober().onConnectionBroken(from.target(), admitted, from.suspect());
             }
         } else {
             sendHistory.onConnectFailure(from.target());
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/TargetLossHandler.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/TargetLossHandler.java
@@ -1,10 +1,13 @@
 package org.siskinlead.core.forwarding;
 
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 import org.siskinlead.core.crash.CrashReports;
 import org.siskinlead.core.crash.Suspect;
+import org.siskinlead.core.forwarding.CrashWatch.Evidence;
 
 /**
  * Reacts to targets that are lost: informs the other daemons, collects the requests that may have caused a crash, and
@@ -35,7 +38,7 @@
         reports.setListener(new CrashReports.Listener() {
             @Override
             public void onCrash(String instanceId, List<Suspect> suspects) {
-                context.crashWatch().onOwnCrash(instanceId, suspectsOn(instanceId));
+                context.crashWatch().onOwnCrash(instanceId, suspectsOn(instanceId), Evidence.REPORTED);
                 context.crashWatch().onCrash(instanceId, suspects);
                 endBlocked();
             }
@@ -50,9 +53,7 @@
 
     /** Records the requests that were running on a target when it crashed, by their fingerprints. */
     void onCrash(String instanceId, List<String> fingerprints) {
-        if (!fingerprints.isEmpty()) {
-            context.suspects().onCrash(instanceId, fingerprints);
-        }
+        context.crashWatch().onCrash(instanceId, CrashWatch.suspectsOf(instanceId, fingerprints));
     }
 
     /** Handles a down notice of another daemon. */
@@ -93,7 +94,6 @@
                 }
             }
             context.prober().requestsBrokenOn(instanceId).forEach(call -> fingerprints.add(call.fingerprint()));
-            context.suspects().onCrash(instanceId, fingerprints);
             reportSuspects(instanceId);
         }
         boolean isReporter =
@@ -106,7 +106,6 @@
 
     /** Reports this daemon's suspects of a crash, and ends those whose next target may crash as well. */
     private void reportSuspects(String instanceId) {
-        List<Suspect> suspects = suspectsOn(instanceId);
         List<ForwardedCall> suspected = new ArrayList<>();
         for (ForwardedCall call : running) {
             if (call.suspectOn(instanceId).isPresent()) {
@@ -116,13 +115,13 @@
         for (AdmittedRequest broken : context.prober().requestsBrokenOn(instanceId)) {
             running.stream().filter(call -> call.admitted().equals(broken)).forEach(suspected::add);
         }
-        context.crashWatch().onOwnCrash(instanceId, suspects);
+        context.crashWatch().onOwnCrash(instanceId, suspectsOn(instanceId), Evidence.DOWN);
         suspected.forEach(call -> call.endIfAccusedBesides(instanceId));
         endBlocked();
     }
 
-    private List<Suspect> suspectsOn(String instanceId) {
-        List<Suspect> suspects = new ArrayList<>(context.prober().suspectsBrokenOn(instanceId));
+    private Collection<Suspect> suspectsOn(String instanceId) {
+        Set<Suspect> suspects = new LinkedHashSet<>(context.prober().suspectsBrokenOn(instanceId));
         running.forEach(call -> call.suspectOn(instanceId).ifPresent(suspects::add));
         return suspects;
     }
--- a/siskinlead-core/src/main/java/org/siskinlead/core/retry/package-info.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/retry/package-info.java
@@ -1,6 +1,6 @@
 /**
- * Retry budgets and protection against requests that crash their targets: {@link org.siskinlead.core.retry.CrashGuard}
- * for completions, {@link org.siskinlead.core.retry.CrashSuspects} for forwarded requests.
+ * Retry budgets and protection against completions that crash their targets. {@link org.siskinlead.core.crash} protects
+ * against forwarded requests.
  */
 @NullMarked
 package org.siskinlead.core.retry;
--- a/siskinlead-core/src/test/java/org/siskinlead/core/crash/CrashAttributionTest.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/crash/CrashAttributionTest.java
@@ -160,4 +160,74 @@
 
         assertThat(attribution.hasBlocked()).isFalse();
     }
+
+    // Guards against blocking a request that was running beside the one that crashes targets.
+    @Test
+    void tellsTheRequestThatCrashesTargetsFromOneThatIsAnsweredBesides() {
+        Suspect deadly = request("deadly");
+        Suspect popular = request("popular");
+        attribution.onCrash("a@1", List.of(deadly, popular));
+        attribution.onCrash("b@1", List.of(request("deadly"), request("popular")));
+        assertThat(attribution.isBlocked(popular.traits())).isFalse();
+        attribution.onStarted(popular.traits());
+
+        assertThat(attribution.isBlocked(deadly.traits())).isTrue();
+        assertThat(attribution.isBlocked(popular.traits())).isFalse();
+    }
+
+    // Guards against two requests that always run together, of which neither would ever be blocked.
+    @Test
+    void blocksRequestsThatItCannotTellApartAfterThreeCrashes() {
+        for (String target : List.of("a@1", "b@1", "c@1")) {
+            attribution.onCrash(target, List.of(request("deadly"), request("companion")));
+        }
+
+        assertThat(attribution.isBlocked(request("deadly").traits())).isTrue();
+    }
+
+    // Guards against a request on full targets that is not blocked because so many others ran beside it.
+    @Test
+    void blocksARequestAfterTwoCrashesOfFullTargetsInADaemonThatHasJustStarted() {
+        for (String target : List.of("a@1", "b@1")) {
+            List<Suspect> running = new ArrayList<>();
+            running.add(request("deadly"));
+            for (int i = 1; i < 134; i++) {
+                running.add(suspect());
+            }
+            attribution.onCrash(target, running);
+        }
+
+        assertThat(attribution.isBlocked(request("deadly").traits())).isTrue();
+    }
+
+    // Guards against other daemons that block a request which this one has seen to run well between two crashes.
+    @Test
+    void tellsOthersOfSoundEndsOnceARequestIsSuspectedAgain() {
+        Suspect popular = request("popular");
+        assertThat(attribution.onCrash("a@1", List.of(popular))).isEmpty();
+        assertThat(attribution.onStarted(popular.traits())).isEmpty();
+
+        assertThat(attribution.onCrash("b@1", List.of(request("popular"))))
+                .containsExactly("request:popular", Set.of("a@1"));
+    }
+
+    // Guards against a request that was blocked by mistake and never tried, and against one that crashes targets by
+    // trials.
+    @Test
+    void triesABlockedRequestOnce() {
+        Suspect deadly = request("deadly");
+        attribution.onCrash("a@1", List.of(deadly));
+        attribution.onCrash("b@1", List.of(request("deadly")));
+        assertThat(attribution.dueTrial(deadly.traits())).isEmpty();
+        timers.advance(attribution.millisToTrial(deadly.traits()));
+        assertThat(attribution.dueTrial(deadly.traits())).isPresent();
+        attribution.onCrash("c@1", List.of(request("deadly")));
+        timers.advance(CrashAttribution.CRASH_TTL_MS / 2);
+
+        assertThat(attribution.dueTrial(deadly.traits())).isEmpty();
+    }
+
+    private Suspect request(String fingerprint) {
+        return new Suspect("vm-" + attempts++, Set.of(Suspect.request(fingerprint)));
+    }
 }
