Sends without an answer are suspects of targets that end silently

Callers saw: a request that comes every 5 s brought down two targets each time, without end, because they fall silent when they crash; other requests on them failed.

Cause: suspects were collected only when a connection broke or a probe was refused, from the attempts that were running then. A silent target is known to have ended only by its entry, seconds later, when its attempts have been cancelled at the head timeout or the deadline.

Ruled out: probes that miss the silence (they find it, but silence alone may not accuse), lost reports (none was written).

Fix: UnansweredSends remembers sends that ended without an answer, by instance. An entry that names a new lifetime, or is removed without notice, makes them suspects; an answer to a later send clears them; an instance that registers again in the same lifetime accuses nobody.

--- a/siskinlead-core/src/main/java/org/siskinlead/core/crash/CrashAttribution.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/crash/CrashAttribution.java
@@ -43,6 +43,7 @@
     private static final double PRIOR_STARTS_OF_REQUESTS = 1_000;
 
     private static final int MAX_COUNTED_REQUESTS = 5_000;
+    private static final int MAX_SURVIVORS = 1_000;
     private static final double TIE = 1e-9;
 
     private final Timers timers;
@@ -54,6 +55,8 @@
     private final Map<String, Set<String>> clearedHere = new HashMap<>();
     /** Number of crashes at which a trait was a suspect, cleared of them or not. */
     private final Map<String, Integer> crashCountByTrait = new HashMap<>();
+    /** Instances that were taken for crashed and are not. */
+    private final Map<String, Boolean> survivors = bounded(MAX_SURVIVORS);
 
     private final Map<String, Integer> startsByTrait = bounded(MAX_COUNTED_TRAITS);
     private long startCount;
@@ -211,7 +214,7 @@
      */
     public Map<String, Set<String>> onCrash(String instanceId, Collection<Suspect> suspects) {
         expire();
-        if (suspects.isEmpty()) {
+        if (suspects.isEmpty() || survivors.containsKey(instanceId)) {
             return Map.of();
         }
         Crash crash = crashes.computeIfAbsent(instanceId, id -> new Crash(timers.nowMillis()));
@@ -238,6 +241,19 @@
         return cleared;
     }
 
+    /**
+     * Handles that an instance that was taken for crashed is running, so that nothing is accused of its crash.
+     * @param instanceId instance of the target
+     */
+    public void onSurvived(String instanceId) {
+        survivors.put(instanceId, true);
+        Crash crash = crashes.remove(instanceId);
+        if (crash != null) {
+            forget(instanceId, crash);
+            evaluate();
+        }
+    }
+
     private boolean isRepeatedSuspect(String trait) {
         return crashCountByTrait.getOrDefault(trait, 0) >= MIN_CRASHES;
     }
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/Attempt.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/Attempt.java
@@ -169,6 +169,7 @@
     void cancel() {
         if (release(Completion.PARTIAL) && exchange != null) {
             exchange.cancel();
+            recordUnanswered();
         }
     }
 
@@ -176,10 +177,28 @@
     void onProven() {
         if (!proven) {
             proven = true;
-            context.crashWatch().onProven(admitted);
+            context.crashWatch().onProven(admitted, instanceIds(), sentAt);
         }
     }
 
+    private void recordUnanswered() {
+        Suspect unanswered = suspect();
+        if (unanswered == null) {
+            return;
+        }
+        context.crashWatch().onUnanswered(instanceIds(), unanswered, sentAt);
+        for (TargetHealth target : targets()) {
+            if (target.hasEnded() && !target.isLeaving()) {
+                context.crashWatch()
+                        .onOwnCrash(target.entry().instanceId(), List.of(unanswered), CrashWatch.Evidence.RESTARTED);
+            }
+        }
+    }
+
+    private List<String> instanceIds() {
+        return targets().stream().map(t -> t.entry().instanceId()).toList();
+    }
+
     @Override
     public void onHead(TargetResponse response) {
         if (!ended) {
@@ -212,6 +231,8 @@
         if (release(Completion.PARTIAL)) {
             if (!failure.mayHaveRun()) {
                 target().onUnreachable();
+            } else if (failure == LinkFailure.BROKEN) {
+                recordUnanswered();
             }
             owner.onFailure(this, failure);
         }
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/CrashWatch.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/CrashWatch.java
@@ -11,6 +11,7 @@
 import org.siskinlead.core.crash.CrashReports;
 import org.siskinlead.core.crash.CrashWeight;
 import org.siskinlead.core.crash.Suspect;
+import org.siskinlead.core.crash.UnansweredSends;
 import org.siskinlead.core.serving.Refusal;
 import org.siskinlead.core.serving.RefusalCode;
 import org.siskinlead.core.time.Timers;
@@ -32,6 +33,7 @@
 
     private final Timeline timeline;
     private final CrashAttribution attribution;
+    private final UnansweredSends unanswered;
     private final String attemptPrefix;
     private @Nullable CrashReports reports;
     private long attempts;
@@ -41,6 +43,10 @@
     enum Evidence {
         /** It refuses connections, or another instance answers. */
         DOWN,
+        /** Its entry names another lifetime. */
+        RESTARTED,
+        /** Its entry was removed. */
+        GONE,
         /** Another daemon has reported it. */
         REPORTED
     }
@@ -48,6 +54,7 @@
     CrashWatch(Timers timers, Timeline timeline, String attemptPrefix) {
         this.timeline = timeline;
         this.attribution = CrashAttribution.of(timers, CrashWeight.likelihoodRatio(BLOCKING_ODDS));
+        this.unanswered = UnansweredSends.of(timers);
         this.attemptPrefix = attemptPrefix;
     }
 
@@ -67,6 +74,11 @@
         return attribution.isAccusedBesides(request.parts(), instanceId);
     }
 
+    /** Lists the sends that an instance of a target left without an answer. */
+    List<Suspect> unansweredOn(String instanceId) {
+        return unanswered.on(instanceId);
+    }
+
     /** Says why a blocked request is not sent. */
     String blockedDetail(AdmittedRequest request) {
         return request.parts().isEmpty() ? REQUEST_DETAIL : PART_DETAIL;
@@ -99,7 +111,10 @@
     }
 
     /** Records that targets have survived a request: they have answered it, or lived on after they began to. */
-    void onProven(AdmittedRequest request) {
+    void onProven(AdmittedRequest request, Collection<String> instanceIds, long sentAt) {
+        if (!unanswered.isEmpty()) {
+            instanceIds.forEach(instanceId -> unanswered.onAnswered(instanceId, sentAt));
+        }
         if (request.parts().isEmpty() && !attribution.hasCrashes()) {
             return;
         }
@@ -107,6 +122,11 @@
         logBlocked();
     }
 
+    /** Records a send that ended without an answer. */
+    void onUnanswered(Collection<String> instanceIds, Suspect suspect, long sentAt) {
+        unanswered.add(instanceIds, suspect, sentAt);
+    }
+
     /** Records a crash and reports it to the other daemons. */
     void onOwnCrash(String instanceId, Collection<Suspect> suspects, Evidence evidence) {
         CrashReports exchange = reports;
@@ -132,6 +152,16 @@
         logBlocked();
     }
 
+    /** Records that an instance that was taken for lost is the same as before. */
+    void onSurvived(String instanceId) {
+        attribution.onSurvived(instanceId);
+        CrashReports exchange = reports;
+        if (exchange != null) {
+            exchange.withdraw(instanceId);
+        }
+        logBlocked();
+    }
+
     private void reportCleared(Map<String, Set<String>> cleared) {
         CrashReports exchange = reports;
         if (exchange != null) {
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/Forwarder.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/Forwarder.java
@@ -115,6 +115,7 @@
         Forwarder forwarder = new Forwarder(timers, timeline, freshness, renewProof, context);
         registry.pacing().setUsualTimes(context.answerTimes()::expectedMillis);
         context.prober().setDownListener(forwarder.targetLosses::onTargetDown);
+        registry.setInstanceListener(forwarder.targetLosses);
         timers.every(STALL_CHECK_INTERVAL_MS, forwarder::checkForStalls);
         return forwarder;
     }
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/TargetLossHandler.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/TargetLossHandler.java
@@ -8,12 +8,14 @@
 import org.siskinlead.core.crash.CrashReports;
 import org.siskinlead.core.crash.Suspect;
 import org.siskinlead.core.forwarding.CrashWatch.Evidence;
+import org.siskinlead.core.registry.TargetHealth;
+import org.siskinlead.core.registry.TargetRegistry;
 
 /**
  * Reacts to targets that are lost: informs the other daemons, collects the requests that may have caused a crash, and
  * fails the attempts that ran there.
  */
-final class TargetLossHandler {
+final class TargetLossHandler implements TargetRegistry.InstanceListener {
     /**
      * Daemons, on average, that report a silent target. Each daemon detects it by its own streams, so more reports
      * would only add writes to the store.
@@ -56,6 +58,31 @@
         context.crashWatch().onCrash(instanceId, CrashWatch.suspectsOf(instanceId, fingerprints));
     }
 
+    /**
+     * Reports the requests that an instance left without an answer, unless it has left as announced. Those that run on an
+     * instance of which only the entry is gone may still be answered, unless it is silent.
+     */
+    @Override
+    public void onGone(TargetHealth instance) {
+        String instanceId = instance.entry().instanceId();
+        if (instance.isLeaving()) {
+            return;
+        }
+        boolean hasStopped = instance.hasEnded() || instance.isDown();
+        Collection<Suspect> suspects =
+                hasStopped ? suspectsOn(instanceId) : context.crashWatch().unansweredOn(instanceId);
+        if (!suspects.isEmpty()) {
+            context.crashWatch()
+                    .onOwnCrash(instanceId, suspects, instance.hasEnded() ? Evidence.RESTARTED : Evidence.GONE);
+            endBlocked();
+        }
+    }
+
+    @Override
+    public void onBack(String instanceId) {
+        context.crashWatch().onSurvived(instanceId);
+    }
+
     /** Handles a down notice of another daemon. */
     void onDownNotice(String instanceId, List<String> fingerprints) {
         String id = instanceId.substring(0, Math.max(0, instanceId.lastIndexOf('@')));
@@ -121,7 +148,8 @@
     }
 
     private Collection<Suspect> suspectsOn(String instanceId) {
-        Set<Suspect> suspects = new LinkedHashSet<>(context.prober().suspectsBrokenOn(instanceId));
+        Set<Suspect> suspects = new LinkedHashSet<>(context.crashWatch().unansweredOn(instanceId));
+        suspects.addAll(context.prober().suspectsBrokenOn(instanceId));
         running.forEach(call -> call.suspectOn(instanceId).ifPresent(suspects::add));
         return suspects;
     }
--- a/siskinlead-core/src/main/java/org/siskinlead/core/registry/TargetRegistry.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/registry/TargetRegistry.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.jspecify.annotations.Nullable;
 import org.siskinlead.core.outage.StoreOutages;
 import org.siskinlead.core.pacing.Pacing;
 import org.siskinlead.core.time.Timers;
@@ -31,7 +32,7 @@
     /** Time for a request that was just sent to reach its target. */
     private static final long SEND_MARGIN_MS = 150;
 
-    private static final int MAX_LEAVING_INSTANCES = 5_000;
+    private static final int MAX_REMEMBERED_INSTANCES = 5_000;
 
     private final Timers timers;
     private final Timeline timeline;
@@ -41,20 +42,38 @@
     private final Map<String, Long> lapsed = new HashMap<>();
 
     /** Instances known to be leaving, also after their entries were removed; the oldest are forgotten. */
-    private final Set<String> leavingInstances = Collections.newSetFromMap(new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1;
+    private final Set<String> leavingInstances = boundedSet();
 
+    private final List<Runnable> listeners = new ArrayList<>();
+    private InstanceListener instanceListener = new InstanceListener() {
         @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
-            return size() > MAX_LEAVING_INSTANCES;
-        }
-    });
+        public void onGone(TargetHealth instance) {}
+
+        @Override
+        public void onBack(String instanceId) {}
+    };
+    /** Instances whose entries were removed although they had not said that they leave; the oldest are forgotten. */
+    private final Set<String> goneInstances = boundedSet();
 
-    private final List<Runnable> listeners = new ArrayList<>();
     private long maxLapsedMillis = Long.MAX_VALUE / 2;
     private long firstRegisteredAt = Long.MAX_VALUE;
     private Pacing pacing;
 
+    /** Receives the end of instances of targets. */
+    public interface InstanceListener {
+        /**
+         * Handles that an instance has ended, because another one has its id, or that its entry was removed.
+         * @param instance the instance; {@link TargetHealth#hasEnded} tells whether it is known to have ended
+         */
+        void onGone(TargetHealth instance);
+
+        /**
+         * Handles that an instance whose entry was removed has registered again.
+         * @param instanceId the instance
+         */
+        void onBack(String instanceId);
+    }
+
     private TargetRegistry(Timers timers, Timeline timeline, StoreOutages outages) {
         this.timers = timers;
         this.timeline = timeline;
@@ -160,6 +179,14 @@
         maxLapsedMillis = Math.max(0, drainMillis - SEND_MARGIN_MS);
     }
 
+    /**
+     * Sets the listener for the end of instances.
+     * @param listener replaces the previous one
+     */
+    public void setInstanceListener(InstanceListener listener) {
+        instanceListener = listener;
+    }
+
     /**
      * Adds a listener for targets that appear, change or leave.
      * @param listener called after each change
@@ -186,14 +213,12 @@
                 timeline.record(EventKind.TARGET_LEFT, "target", entry.id(), "reason", "leaving");
             }
         } else {
-            if (known != null && entry.startedAtMillis() > known.entry().startedAtMillis()) {
-                known.markEnded();
-            }
             TargetHealth joined = new TargetHealth(entry, timers, pacing);
             if (leavingInstances.contains(entry.instanceId())) {
                 joined.markLeaving();
             }
             byId.put(entry.id(), joined);
+            onReplaced(known, entry);
             boolean isRestart = known != null && known.hasEnded();
             if (isRestart || timers.nowMillis() - firstRegisteredAt > LISTING_MS) {
                 joined.beginPace(isRestart ? "restarted" : "registered");
@@ -212,6 +237,15 @@
         notifyListeners();
     }
 
+    private void onReplaced(@Nullable TargetHealth known, RegisteredTarget entry) {
+        if (known != null && entry.startedAtMillis() > known.entry().startedAtMillis()) {
+            known.markEnded();
+            instanceListener.onGone(known);
+        } else if (goneInstances.remove(entry.instanceId())) {
+            instanceListener.onBack(entry.instanceId());
+        }
+    }
+
     /**
      * Leaves a target alone for a period that it has asked for.
      * @param target the target
@@ -288,8 +322,21 @@
         TargetHealth known = byId.remove(id);
         if (known != null) {
             known.markRemoved();
+            goneInstances.add(known.entry().instanceId());
+            instanceListener.onGone(known);
             timeline.record(EventKind.TARGET_LEFT, "target", id, "reason", reason);
             notifyListeners();
         }
     }
+
+    private static Set<String> boundedSet() {
+        return Collections.newSetFromMap(new LinkedHashMap<>() {
+            private static final long serialVersionUID = 1;
+
+            @Override
+            protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
+                return size() > MAX_REMEMBERED_INSTANCES;
+            }
+        });
+    }
 }
--- a/siskinlead-core/src/test/java/org/siskinlead/core/crash/CrashAttributionTest.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/crash/CrashAttributionTest.java
@@ -211,6 +211,18 @@
                 .containsExactly("request:popular", Set.of("a@1"));
     }
 
+    // Guards against blame for a target that was only silent.
+    @Test
+    void accusesNothingOfAnInstanceThatLivesOn() {
+        attribution.onCrash("a@1", List.of(request("sound")));
+        attribution.onCrash("b@1", List.of(request("sound")));
+        attribution.onSurvived("b@1");
+        assertThat(attribution.isBlocked(request("sound").traits())).isFalse();
+        attribution.onCrash("b@1", List.of(request("sound")));
+
+        assertThat(attribution.isBlocked(request("sound").traits())).isFalse();
+    }
+
     // Guards against a request that was blocked by mistake and never tried, and against one that crashes targets by
     // trials.
     @Test
