Answers that are no HTTP are refused before they are decoded

Callers saw: an answer with the status 000 was passed on as one; so were heads with a blank or a control byte in the name of a field, with that line or with a body that was not the target's.

Cause: the codec repairs responses. It takes any integer for a status, skips blanks before the status line, and cuts a name at the first blank; what decides saw only the result.

Ruled out: our own handling of what the codec gives (nothing there can see the blank), and the checks of requests, which the codec does make.

Fix: ResponseCheck reads the bytes of a response before the codec, by RFC 9112, sections 4 to 7, and ends the exchange as malformed at the first line that is not sound: safe requests go elsewhere, unsafe ones end with 502 at once, begun streams are resumed. The log quotes the line, escaped and bounded; targets.malformed.* counts by defect.

Sound but unusual answers pass.

--- a/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/HttpClient.java
+++ b/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/HttpClient.java
@@ -44,6 +44,7 @@
 public final class HttpClient {
     private static final int MAX_IDLE_CONNECTIONS_PER_ADDRESS = 128;
     private static final int MAX_RESPONSE_BYTES = 2_000_000;
+    private static final int MAX_HEAD_LINE_BYTES = 8_192;
     /** Pieces of a body after which their average size must be at least {@link #MIN_AVERAGE_PIECE_BYTES}. */
     private static final int MAX_TINY_PIECES = 1_024;
     /** Smaller pieces cost more to decode than they bring. */
@@ -185,7 +186,10 @@
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel socket) {
-                        socket.pipeline().addLast(new HttpClientCodec()).addLast(new ResponseHandler());
+                        socket.pipeline()
+                                .addLast(new ResponseCheck(MAX_HEAD_LINE_BYTES))
+                                .addLast(new HttpClientCodec())
+                                .addLast(new ResponseHandler());
                     }
                 })
                 .connect(address);
@@ -306,7 +310,8 @@
             response.headers().forEach(h -> headers.add(new HeaderField(h.getKey(), h.getValue())));
             Result result = new Result(null, response.status().code(), headers, body.toByteArray());
             reset(context);
-            if (exchange.reuse == Reuse.POOLED && HttpUtil.isKeepAlive(response)) {
+            boolean reusable = context.pipeline().get(ResponseCheck.class).expectAnother();
+            if (exchange.reuse == Reuse.POOLED && HttpUtil.isKeepAlive(response) && reusable) {
                 releaseChannel(exchange.address, context.channel());
             } else {
                 context.close();
--- a/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/StreamingClient.java
+++ b/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/StreamingClient.java
@@ -14,6 +14,7 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
@@ -98,6 +99,13 @@
         /** Called when the body is complete. */
         void onEnd();
 
+        /**
+         * Called before the failure when the bytes received are not a valid HTTP response.
+         * @param defect what is wrong
+         * @param detail describes it, in printable characters
+         */
+        default void onMalformed(MalformedResponseException.Defect defect, String detail) {}
+
         /**
          * Called when the response will not be completed.
          * @param failure why it will not
@@ -164,6 +172,7 @@
                     @Override
                     protected void initChannel(SocketChannel socket) {
                         socket.pipeline()
+                                .addLast(new ResponseCheck(MAX_HEADER_BYTES))
                                 .addLast(new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
                                 .addLast(handler);
                     }
@@ -233,7 +242,7 @@
                 return;
             }
             if (message.decoderResult().isFailure()) {
-                fail(Failure.MALFORMED);
+                failAsMalformed(message.decoderResult().cause());
                 context.close();
                 return;
             }
@@ -321,8 +330,26 @@
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
             connectionBroken = true;
-            fail(cause instanceof io.netty.handler.codec.DecoderException ? Failure.MALFORMED : Failure.BROKEN);
+            if (cause instanceof DecoderException) {
+                failAsMalformed(cause);
+            } else {
+                fail(Failure.BROKEN);
+            }
             context.close();
         }
+
+        private void failAsMalformed(Throwable cause) {
+            if (ended) {
+                return;
+            }
+            if (cause instanceof MalformedResponseException malformed) {
+                listener.onMalformed(malformed.defect(), String.valueOf(malformed.getMessage()));
+            } else {
+                listener.onMalformed(
+                        MalformedResponseException.Defect.OTHER,
+                        cause.getClass().getSimpleName());
+            }
+            fail(Failure.MALFORMED);
+        }
     }
 }
