Bound the memory of unanswered sends for all targets together

Cause: reading the diff. 500 instances with 200 sends each could take more than a quarter of the heap when many callers leave early.

--- a/siskinlead-core/src/main/java/org/siskinlead/core/crash/CrashAttribution.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/crash/CrashAttribution.java
@@ -160,7 +160,8 @@
             if (!isBlockedWith(trait, traits)) {
                 continue;
             }
-            if (isPartOrRequest(blocked.getOrDefault(trait, Set.of())) || timers.nowMillis() < trialDueAt(trait)) {
+            if (mixesPartsAndRequests(blocked.getOrDefault(trait, Set.of()))
+                    || timers.nowMillis() < trialDueAt(trait)) {
                 return Optional.empty();
             }
             return Optional.of(new Trial(trait, crashesAccusing(trait).size()));
@@ -168,8 +169,8 @@
         return Optional.empty();
     }
 
-    /** Tells whether traits that cannot be told apart are a request and its parts, of which a trial would clear only the parts. */
-    private static boolean isPartOrRequest(Set<String> alike) {
+    /** Tells whether traits that cannot be told apart are a request and its parts, so that a trial could not tell which it tried. */
+    private static boolean mixesPartsAndRequests(Set<String> alike) {
         return alike.stream().anyMatch(Suspect::isRequest) && !alike.stream().allMatch(Suspect::isRequest);
     }
 
--- a/siskinlead-core/src/main/java/org/siskinlead/core/crash/UnansweredSends.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/crash/UnansweredSends.java
@@ -17,10 +17,12 @@
     /** Sends remembered for one instance. The cause of a crash is among the oldest of those without an answer. */
     static final int MAX_SENDS_PER_INSTANCE = 200;
 
-    static final int MAX_INSTANCES = 500;
+    /** Sends remembered in all, so that callers who leave early cannot use up the memory. */
+    static final int MAX_SENDS = 4_000;
 
     private final Timers timers;
     private final Map<String, List<Send>> byInstance = new LinkedHashMap<>();
+    private int sendCount;
 
     private record Send(Suspect suspect, long sentAt, long endedAt) {}
 
@@ -73,10 +75,12 @@
             List<Send> sends = byInstance.computeIfAbsent(instanceId, id -> new ArrayList<>());
             if (sends.size() < MAX_SENDS_PER_INSTANCE) {
                 sends.add(new Send(suspect, sentAt, timers.nowMillis()));
+                sendCount++;
             }
         }
-        while (byInstance.size() > MAX_INSTANCES) {
-            byInstance.remove(byInstance.keySet().iterator().next());
+        while (sendCount > MAX_SENDS) {
+            List<Send> oldest = byInstance.remove(byInstance.keySet().iterator().next());
+            sendCount -= oldest == null ? 0 : oldest.size();
         }
     }
 
@@ -87,13 +91,19 @@
      */
     public void onAnswered(String instanceId, long sentAt) {
         byInstance.computeIfPresent(instanceId, (id, sends) -> {
+            sendCount -= sends.size();
             sends.removeIf(send -> send.sentAt() <= sentAt);
+            sendCount += sends.size();
             return sends.isEmpty() ? null : sends;
         });
     }
 
     private void expire() {
         long now = timers.nowMillis();
-        byInstance.values().removeIf(sends -> now - sends.get(sends.size() - 1).endedAt() >= TTL_MS);
+        byInstance.values().removeIf(sends -> {
+            boolean expired = now - sends.get(sends.size() - 1).endedAt() >= TTL_MS;
+            sendCount -= expired ? sends.size() : 0;
+            return expired;
+        });
     }
 }
--- a/siskinlead-core/src/main/java/org/siskinlead/core/gateway/Gateway.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/gateway/Gateway.java
@@ -124,7 +124,7 @@
         this.timeline = timeline;
         this.freshness = Freshness.of(timers, settings.maxProofAgeMillis());
         this.outages = StoreOutages.untilFirstAnswer(timers);
-        outages.addListener(recordedOutages());
+        outages.addListener(new OutageRecorder(timeline, freshness));
         this.registry = TargetRegistry.of(timers, timeline, outages);
         registry.setDrainPeriod(settings.targetDrainMillis());
         TimedLeaseStore store = TimedLeaseStore.of(ports.store(), timers);
@@ -202,20 +202,6 @@
         return new Gateway(self, ports, settings, timeline);
     }
 
-    private StoreOutages.Listener recordedOutages() {
-        return new StoreOutages.Listener() {
-            @Override
-            public void onOutage(String reason) {
-                timeline.record(EventKind.STORE_LOST, "reason", reason, "proofAgeMs", freshness.ageMillis());
-            }
-
-            @Override
-            public void onOutageEnded() {
-                timeline.record(EventKind.STORE_REGAINED);
-            }
-        };
-    }
-
     // Queries
 
     /**
@@ -227,7 +213,7 @@
     }
 
     /**
-     * Returns the judgement about outages of the store.
+     * Returns the judgement about outages of the store, to be told of calls that fail.
      * @return the outages
      */
     public StoreOutages outages() {
@@ -437,15 +423,6 @@
         forwarder.onProof();
     }
 
-    /**
-     * Records that a call that follows the store has failed.
-     * @param failure how it failed
-     * @param reason observed failure, for the event log
-     */
-    public void onStoreCallFailed(StoreOutages.Failure failure, String reason) {
-        outages.onFailed(failure, reason);
-    }
-
     /**
      * Records that the store does not answer.
      * @param reason observed failure, for the event log
