Crash evidence: a target that lived on can crash later, and only repeated suspects are weighed

Callers would have seen: a request that crashes a target which had once been silent and gone on would not have been blamed for it; and a pause of all requests of a daemon after the crash of a full target in a large fleet.

Cause, found by reading the diff: an instance that had survived was exempt from blame for good; and each report of a crash, of which there is one for each daemon with a suspect, weighed every trait of it against every other.

Fix: reports of others are ignored for 5 s after the return, in which they may not have seen it. Ruled out: fewer reports, which would lose evidence when daemons are killed.

--- a/siskinlead-core/src/main/java/org/siskinlead/core/crash/CrashAttribution.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/crash/CrashAttribution.java
@@ -43,6 +43,9 @@
     private static final double PRIOR_STARTS_OF_REQUESTS = 1_000;
 
     private static final int MAX_COUNTED_REQUESTS = 5_000;
+    /** Time within which another daemon still reports a crash of an instance whose return it has not seen. */
+    static final long LATE_REPORT_MS = 5_000;
+
     private static final int MAX_SURVIVORS = 1_000;
     private static final double TIE = 1e-9;
 
@@ -55,8 +58,10 @@
     private final Map<String, Set<String>> clearedHere = new HashMap<>();
     /** Number of crashes at which a trait was a suspect, cleared of them or not. */
     private final Map<String, Integer> crashCountByTrait = new HashMap<>();
-    /** Instances that were taken for crashed and are not. */
-    private final Map<String, Boolean> survivors = bounded(MAX_SURVIVORS);
+    /** Traits that were suspects at so many crashes that they can be blocked. */
+    private final Set<String> repeatedSuspects = new HashSet<>();
+    /** Times at which instances that were taken for crashed turned out to be running, by instance. */
+    private final Map<String, Long> survivedAt = bounded(MAX_SURVIVORS);
 
     private final Map<String, Integer> startsByTrait = bounded(MAX_COUNTED_TRAITS);
     private long startCount;
@@ -215,7 +220,7 @@
      */
     public Map<String, Set<String>> onCrash(String instanceId, Collection<Suspect> suspects) {
         expire();
-        if (suspects.isEmpty() || survivors.containsKey(instanceId)) {
+        if (suspects.isEmpty() || hasJustSurvived(instanceId)) {
             return Map.of();
         }
         Crash crash = crashes.computeIfAbsent(instanceId, id -> new Crash(timers.nowMillis()));
@@ -225,17 +230,17 @@
             if (first == null || first.equals(instanceId)) {
                 crash.attempts.add(suspect.attempt());
                 for (String trait : suspect.traits()) {
-                    if (crash.traits.add(trait)) {
-                        crashCountByTrait.merge(trait, 1, Integer::sum);
+                    if (crash.traits.add(trait) && crashCountByTrait.merge(trait, 1, Integer::sum) >= MIN_CRASHES) {
+                        repeatedSuspects.add(trait);
                     }
                 }
             }
         }
         evaluate();
         Map<String, Set<String>> cleared = new HashMap<>();
-        for (String trait : crash.traits) {
+        for (String trait : repeatedSuspects) {
             Set<String> here = clearedHere.get(trait);
-            if (here != null && isRepeatedSuspect(trait)) {
+            if (here != null && crash.traits.contains(trait)) {
                 cleared.put(trait, Set.copyOf(here));
             }
         }
@@ -247,7 +252,7 @@
      * @param instanceId instance of the target
      */
     public void onSurvived(String instanceId) {
-        survivors.put(instanceId, true);
+        survivedAt.put(instanceId, timers.nowMillis());
         Crash crash = crashes.remove(instanceId);
         if (crash != null) {
             forget(instanceId, crash);
@@ -255,8 +260,9 @@
         }
     }
 
-    private boolean isRepeatedSuspect(String trait) {
-        return crashCountByTrait.getOrDefault(trait, 0) >= MIN_CRASHES;
+    private boolean hasJustSurvived(String instanceId) {
+        Long at = survivedAt.get(instanceId);
+        return at != null && timers.nowMillis() - at < LATE_REPORT_MS;
     }
 
     /**
@@ -280,7 +286,7 @@
             // All others need to know of it only once the trait is under serious suspicion.
             if (Suspect.isRequest(trait)) {
                 clearedHere.computeIfAbsent(trait, t -> new HashSet<>()).addAll(accusing);
-                if (isRepeatedSuspect(trait)) {
+                if (repeatedSuspects.contains(trait)) {
                     cleared.put(trait, accusing);
                 }
             } else if (score(trait, accusing) >= weight.threshold() / 2) {
@@ -324,6 +330,10 @@
     // Evaluation
 
     private void evaluate() {
+        if (repeatedSuspects.isEmpty()) {
+            blocked = Map.of();
+            return;
+        }
         Map<String, Set<String>> accusing = new HashMap<>();
         crashes.forEach((id, crash) -> crash.traits.forEach(trait -> {
             if (!isCleared(trait, id)) {
@@ -332,10 +342,16 @@
         }));
         Map<String, Double> scores = new HashMap<>();
         accusing.forEach((trait, ids) -> scores.put(trait, score(trait, ids)));
+        Map<String, Double> bestScores = new HashMap<>();
+        accusing.forEach(
+                (trait, ids) -> ids.forEach(id -> bestScores.merge(id, scores.getOrDefault(trait, 0.0), Math::max)));
         Map<String, Set<String>> convicted = new HashMap<>();
-        accusing.forEach((trait, ids) -> {
+        for (String trait : repeatedSuspects) {
+            Set<String> ids = accusing.getOrDefault(trait, Set.of());
+            double own = scores.getOrDefault(trait, 0.0);
+            // A crash that another trait explains better is no evidence.
             Set<String> unexplained = new HashSet<>(ids);
-            unexplained.removeIf(id -> hasBetterExplanation(id, trait, scores));
+            unexplained.removeIf(id -> bestScores.getOrDefault(id, 0.0) > own + TIE);
             if (unexplained.size() >= MIN_CRASHES && score(trait, unexplained) >= weight.threshold()) {
                 Set<String> alike = alike(trait, accusing, scores);
                 // A request has one such trait, and so never all of those that cannot be told apart.
@@ -343,16 +359,10 @@
                         trait,
                         ids.size() < MIN_CRASHES_OF_SIMILAR_REQUESTS ? alike : withoutOtherRequests(trait, alike));
             }
-        });
+        }
         blocked = convicted;
     }
 
-    private boolean hasBetterExplanation(String instanceId, String trait, Map<String, Double> scores) {
-        Crash crash = crashes.get(instanceId);
-        double own = scores.getOrDefault(trait, 0.0);
-        return crash != null && crash.traits.stream().anyMatch(t -> scores.getOrDefault(t, 0.0) > own + TIE);
-    }
-
     private static Set<String> alike(String trait, Map<String, Set<String>> accusing, Map<String, Double> scores) {
         Set<String> alike = new HashSet<>();
         accusing.forEach((other, ids) -> {
@@ -417,6 +427,9 @@
         crash.attempts.forEach(crashByAttempt::remove);
         for (String trait : crash.traits) {
             crashCountByTrait.computeIfPresent(trait, (t, count) -> count > 1 ? count - 1 : null);
+            if (crashCountByTrait.getOrDefault(trait, 0) < MIN_CRASHES) {
+                repeatedSuspects.remove(trait);
+            }
             removeFrom(clearedByTrait, trait, instanceId);
             removeFrom(clearedHere, trait, instanceId);
         }
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/AbstractForwardedCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/AbstractForwardedCall.java
@@ -272,7 +272,7 @@
 
     @Override
     public final void endIfBlocked() {
-        if (!done && mayEndAsSuspect() && context.crashWatch().isBlocked(admitted)) {
+        if (!done && context.crashWatch().isBlocked(admitted) && mayEndAsSuspect()) {
             endAsSuspect();
         }
     }
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/CrashWatch.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/CrashWatch.java
@@ -101,8 +101,8 @@
     }
 
     /**
-     * Describes requests as suspects by the fingerprints that a notice of another daemon names. The daemon's report of the
-     * same crash names them as well, so that they count once for each notice.
+     * Describes requests as suspects by the fingerprints that a down notice of another daemon names. Each fingerprint is one
+     * suspect, however many notices of the crash name it.
      */
     static List<Suspect> suspectsOf(String instanceId, Collection<String> fingerprints) {
         return fingerprints.stream()
@@ -205,6 +205,9 @@
     }
 
     private void logBlocked() {
+        if (!attribution.hasBlocked() && loggedBlocked.isEmpty()) {
+            return;
+        }
         Set<String> now = attribution.blockedTraits();
         if (!now.equals(loggedBlocked)) {
             timeline.record(
--- a/siskinlead-core/src/test/java/org/siskinlead/core/crash/CrashAttributionTest.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/crash/CrashAttributionTest.java
@@ -223,6 +223,17 @@
         assertThat(attribution.isBlocked(request("sound").traits())).isFalse();
     }
 
+    // Guards against a request that is never blocked because its targets were once silent and went on.
+    @Test
+    void countsTheCrashOfAnInstanceThatHadLivedOnBefore() {
+        attribution.onSurvived("a@1");
+        timers.advance(CrashAttribution.LATE_REPORT_MS);
+        attribution.onCrash("a@1", List.of(request("deadly")));
+        attribution.onCrash("b@1", List.of(request("deadly")));
+
+        assertThat(attribution.isBlocked(request("deadly").traits())).isTrue();
+    }
+
     // Guards against a request that was blocked by mistake and never tried, and against one that crashes targets by
     // trials.
     @Test
