Tell apart who closed a caller's connection, and why

What callers saw: nothing; this is for whoever looks for the cause of a cut request. The log named every closed connection "caller left", also those that this daemon had closed itself.

Cause: the server told its handler only that a connection was closed.

Change: each connection of a server ends with a `ConnectionEnd`: the peer, the last response, a timeout or another limit. A request that a limit cuts ends as CONNECTION_CLOSED with the limit in its reason, is counted as cut, and gets a REQUEST_CUT event. Counters name all ends and all refusals of unread requests; `INPUT_LIMITED` is recorded once a second at most while limits act.

Evidence: CutRequestTest.namesARequestWhoseConnectionThisDaemonClosed and ConnectionEndTest; neither can be stated on the code before. They also showed that an incomplete header section was passed on as a malformed request when its connection ended, and answered in vain; it is dropped now.

--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/AbstractForwardedCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/AbstractForwardedCall.java
@@ -395,6 +395,11 @@
         }
     }
 
+    @Override
+    public final void onConnectionClosed(String reason) {
+        end(Ending.CONNECTION_CLOSED, "connection closed by this daemon: " + reason, 0);
+    }
+
     @Override
     public void terminate(String reason) {
         if (sendHistory.mayHaveRun() || attempt != null) {
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/Ending.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/Ending.java
@@ -7,6 +7,8 @@
     /** The caller was told that no target ran the request. */
     NOT_RUN,
     CALLER_LEFT,
+    /** This daemon closed the connection of the caller. */
+    CONNECTION_CLOSED,
     /** The target or its path failed, and no other one could go on. */
     TARGETS_FAILED,
     /** The time of the caller or of the route was used up. */
@@ -22,7 +24,7 @@
     boolean isCut() {
         return switch (this) {
             case ANSWERED, NOT_RUN, CALLER_LEFT -> false;
-            case TARGETS_FAILED, TIMED_OUT, READER_SLOW, SUSPECTED, DAEMON_STOPPED -> true;
+            case CONNECTION_CLOSED, TARGETS_FAILED, TIMED_OUT, READER_SLOW, SUSPECTED, DAEMON_STOPPED -> true;
         };
     }
 }
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/ForwardedCall.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/ForwardedCall.java
@@ -31,6 +31,9 @@
     /** Cancels the request because the caller closed its connection. */
     void onCallerDisconnected();
 
+    /** Ends the request because this daemon closed the connection of its caller. */
+    void onConnectionClosed(String reason);
+
     /** Ends the request because this daemon shuts down. */
     void terminate(String reason);
 }
--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/Forwarder.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/Forwarder.java
@@ -124,6 +124,14 @@
     public interface RequestHandle {
         /** Cancels the request because the caller closed its connection. */
         void onCallerDisconnected();
+
+        /**
+         * Cancels the request because this daemon closed the connection of its caller.
+         * @param reason why it did
+         */
+        default void onConnectionClosed(String reason) {
+            onCallerDisconnected();
+        }
     }
 
     // Queries
@@ -273,19 +281,27 @@
 
     private static final class Handle implements RequestHandle {
         private @Nullable ForwardedCall call;
-        private boolean callerDisconnected;
+        private boolean connectionClosed;
 
         @Override
         public void onCallerDisconnected() {
-            callerDisconnected = true;
+            connectionClosed = true;
             if (call != null) {
                 call.onCallerDisconnected();
             }
         }
+
+        @Override
+        public void onConnectionClosed(String reason) {
+            connectionClosed = true;
+            if (call != null) {
+                call.onConnectionClosed(reason);
+            }
+        }
     }
 
     private void admit(IncomingRequest request, Reply reply, Handle handle, long receivedAt, ProofWait wait) {
-        if (handle.callerDisconnected) {
+        if (handle.connectionClosed) {
             return;
         }
         Catalog current = catalog;
@@ -390,7 +406,7 @@
         awaitingTrial++;
         context.crashWatch().requestTrial(admitted, granted -> {
             awaitingTrial--;
-            if (handle.callerDisconnected) {
+            if (handle.connectionClosed) {
                 return;
             }
             if (granted) {
--- a/siskinlead-core/src/main/java/org/siskinlead/core/timeline/EventKind.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/timeline/EventKind.java
@@ -70,5 +70,7 @@
     DRAIN_DONE,
     /** The server for callers has closed its listening socket and is about to exit. */
     CONNECTIONS_DRAINED,
+    /** Limits on what clients may send and hold refused requests or closed connections in the last second. */
+    INPUT_LIMITED,
     INVARIANT_VIOLATED
 }
--- a/siskinlead-core/src/test/java/org/siskinlead/core/forwarding/CutRequestTest.java
+++ b/siskinlead-core/src/test/java/org/siskinlead/core/forwarding/CutRequestTest.java
@@ -88,6 +88,19 @@
         assertThat(bed.forwarder.counters().get(Count.CUT)).isEqualTo(0);
     }
 
+    // Guards against a request that this daemon's own limit cuts, and whose event says that the caller left.
+    @Test
+    void namesARequestWhoseConnectionThisDaemonClosed() {
+        RequestHandle handle = bed.forwarder.onRequest(bed.request("/unsafe/y"), new RecordedReply());
+
+        handle.onConnectionClosed("too many pipelined requests");
+
+        Map<String, String> cut = onlyCut();
+        assertThat(cut).containsEntry("cause", "CONNECTION_CLOSED");
+        assertThat(cut).containsEntry("reason", "connection closed by this daemon: too many pipelined requests");
+        assertThat(bed.forwarder.counters().get(Count.CALLER_LEFT)).isEqualTo(0);
+    }
+
     private Map<String, String> onlyCut() {
         List<Map<String, String>> cut = events(EventKind.REQUEST_CUT);
         assertThat(cut).hasSize(1);
--- a/siskinlead-daemon/src/main/java/org/siskinlead/daemon/Daemon.java
+++ b/siskinlead-daemon/src/main/java/org/siskinlead/daemon/Daemon.java
@@ -31,6 +31,8 @@
 import org.siskinlead.protocol.http.HttpClient;
 import org.siskinlead.protocol.http.HttpLimits;
 import org.siskinlead.protocol.http.HttpServer;
+import org.siskinlead.protocol.http.ServerCounters;
+import org.siskinlead.protocol.http.ServerResources;
 
 /** Creates, runs and stops the components of one daemon. */
 final class Daemon {
@@ -45,6 +47,7 @@
     private final EventLoopGroup eventLoopGroup =
             new MultiThreadIoEventLoopGroup(NETWORK_THREADS, NioIoHandler.newFactory());
     private final CountDownLatch drained = new CountDownLatch(1);
+    private final ServerResources serverResources = ServerResources.ofProcess();
     private final Settings settings;
     private final Node node;
     private final PeerLinks peers;
@@ -96,9 +99,15 @@
         if (terminating) {
             return;
         }
-        callers = HttpServer.start(Addresses.parse(settings.entryAddress()), eventLoopGroup, HttpLimits.CALLERS, entry);
+        callers = HttpServer.start(
+                Addresses.parse(settings.entryAddress()),
+                eventLoopGroup,
+                () -> HttpLimits.CALLERS,
+                serverResources,
+                entry);
         loop.publish(() -> {
             node.start();
+            LimitReport.start(loop, node.timeline(), serverResources.counters());
             VmPoller.start(node, platform, targets, loop);
         });
     }
@@ -144,6 +153,11 @@
                 metrics,
                 "heap.used_bytes",
                 () -> Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory());
+        ServerCounters counters = serverResources.counters();
+        for (String name : counters.values().keySet()) {
+            registerGauge(
+                    metrics, "connections." + name, () -> counters.values().getOrDefault(name, 0L));
+        }
         registerGauge(metrics, "head.version", () -> node.membership().head().version());
         registerGauge(metrics, "timeline.dropped", () -> node.timeline().dropped());
         return metrics;
--- a/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/ConnectionTimeouts.java
+++ b/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/ConnectionTimeouts.java
@@ -18,6 +18,7 @@
 final class ConnectionTimeouts {
     private final Supplier<HttpLimits> limits;
     private final ConnectionCounts counts;
+    private final ServerCounters counters;
     private @Nullable Future<?> closeTimer;
     private boolean unused;
     private boolean busy;
@@ -28,9 +29,10 @@
     /** Whether the header section of the arriving request is complete. */
     private boolean arrivingBody;
 
-    ConnectionTimeouts(Supplier<HttpLimits> limits, ConnectionCounts counts) {
+    ConnectionTimeouts(Supplier<HttpLimits> limits, ConnectionCounts counts, ServerCounters counters) {
         this.limits = limits;
         this.counts = counts;
+        this.counters = counters;
     }
 
     /**
@@ -54,7 +56,7 @@
                 if (!busy) {
                     busy = true;
                     counts.busy.incrementAndGet();
-                    scheduleClose(context, limits.get().headerMillis());
+                    scheduleClose(context, limits.get().headerMillis(), ConnectionEnd.HEADER_TIMEOUT);
                 }
                 arriving = true;
                 if (message instanceof ByteBuf bytes && bytes.readableBytes() > 1) {
@@ -67,6 +69,7 @@
             @Override
             public void channelInactive(ChannelHandlerContext context) {
                 cancelTimer();
+                counters.increment(ServerResources.endOf(context.channel()));
                 onUsed();
                 onNotBusy();
                 context.fireChannelInactive();
@@ -108,15 +111,18 @@
 
     private void onIdle(ChannelHandlerContext context) {
         onNotBusy();
-        scheduleClose(context, limits.get().idleMillis());
+        scheduleClose(context, limits.get().idleMillis(), ConnectionEnd.IDLE_TIMEOUT);
     }
 
     /** Limits the time until more of a request arrives, unless the connection is in use for an earlier one. */
     private void scheduleArrivalTimeout(ChannelHandlerContext context) {
-        if (unanswered <= 0) {
-            scheduleClose(
-                    context,
-                    arrivingBody ? limits.get().idleMillis() : limits.get().headerMillis());
+        if (unanswered > 0) {
+            return;
+        }
+        if (arrivingBody) {
+            scheduleClose(context, limits.get().idleMillis(), ConnectionEnd.BODY_TIMEOUT);
+        } else {
+            scheduleClose(context, limits.get().headerMillis(), ConnectionEnd.HEADER_TIMEOUT);
         }
     }
 
@@ -134,9 +140,10 @@
         }
     }
 
-    private void scheduleClose(ChannelHandlerContext context, long millis) {
+    private void scheduleClose(ChannelHandlerContext context, long millis, ConnectionEnd end) {
         cancelTimer();
-        closeTimer = context.executor().schedule(() -> context.close(), millis, TimeUnit.MILLISECONDS);
+        closeTimer = context.executor()
+                .schedule(() -> ServerResources.close(context.channel(), end), millis, TimeUnit.MILLISECONDS);
     }
 
     private void cancelTimer() {
--- a/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/HttpExchange.java
+++ b/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/HttpExchange.java
@@ -22,6 +22,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
 import org.siskinlead.core.forwarding.HeaderField;
 import org.siskinlead.protocol.json.Json;
 
@@ -42,8 +43,8 @@
     private final ReceivedRequest received;
     private final List<HeaderField> headerFields = new ArrayList<>();
     private final boolean keepAlive;
-    private Runnable onClosed = () -> {};
-    private boolean closed;
+    private ClosedListener onClosed = end -> {};
+    private @Nullable ConnectionEnd closed;
     private boolean closeAfterResponse;
 
     HttpExchange(Channel channel, ReceivedRequest received, Runnable onResponded) {
@@ -144,19 +145,29 @@
 
     // Commands
 
+    /** Learns that the connection of an exchange is closed. */
+    public interface ClosedListener {
+        /**
+         * Handles the end of the connection.
+         * @param end who closed it, and why
+         */
+        void onClosed(ConnectionEnd end);
+    }
+
     /**
-     * Registers a task that runs if the connection closes before the response is complete. Also runs after a response
-     * that closes the connection.
-     * @param task run on a network thread, or at once on this thread if the connection is closed already
+     * Registers a listener that is called if the connection closes before the response is complete. It is also called
+     * after a response that closes the connection.
+     * @param listener called on a network thread, or at once on this thread if the connection is closed already
      */
-    public void onClosed(Runnable task) {
+    public void onClosed(ClosedListener listener) {
+        ConnectionEnd end;
         synchronized (this) {
-            onClosed = task;
-            if (!closed) {
-                return;
-            }
+            onClosed = listener;
+            end = closed;
+        }
+        if (end != null) {
+            listener.onClosed(end);
         }
-        task.run();
     }
 
     /** Closes the connection after the response, which announces it by {@code Connection: close}. */
@@ -166,7 +177,7 @@
 
     /** Closes the connection now; a response that was started stays incomplete. */
     public void abort() {
-        channel.close();
+        ServerResources.close(channel, ConnectionEnd.RESPONSE_ABORTED);
     }
 
     /**
@@ -253,11 +264,12 @@
     }
 
     /** Refuses the request if its body was not read; returns whether it did. */
-    boolean refuseUnread() {
+    boolean refuseUnread(ServerCounters counters) {
         ReceivedRequest.Refusal refusal = received.refusal();
         if (refusal == ReceivedRequest.Refusal.NONE) {
             return false;
         }
+        counters.increment(refusal);
         if (refusal == ReceivedRequest.Refusal.MALFORMED || HttpUtil.is100ContinueExpected(received.head())) {
             // What follows may be a request, or the body that was not awaited.
             closeAfterResponse();
@@ -271,14 +283,14 @@
         return true;
     }
 
-    void connectionClosed() {
+    void connectionClosed(ConnectionEnd end) {
         received.body().release();
-        Runnable task;
+        ClosedListener listener;
         synchronized (this) {
-            closed = true;
-            task = onClosed;
+            closed = end;
+            listener = onClosed;
         }
-        task.run();
+        listener.onClosed(end);
     }
 
     private void setCloseHeader(HttpResponse response) {
@@ -308,9 +320,13 @@
     private void closeAfterPeer() {
         if (channel instanceof DuplexChannel duplex && channel.isActive()) {
             duplex.shutdownOutput();
-            channel.eventLoop().schedule(() -> channel.close(), MAX_PEER_CLOSE_WAIT_MS, TimeUnit.MILLISECONDS);
+            channel.eventLoop()
+                    .schedule(
+                            () -> ServerResources.close(channel, ConnectionEnd.LAST_RESPONSE),
+                            MAX_PEER_CLOSE_WAIT_MS,
+                            TimeUnit.MILLISECONDS);
         } else {
-            channel.close();
+            ServerResources.close(channel, ConnectionEnd.LAST_RESPONSE);
         }
     }
 }
--- a/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/HttpServer.java
+++ b/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/HttpServer.java
@@ -10,6 +10,7 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpServerCodec;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -60,7 +61,7 @@
     public static HttpServer start(
             InetSocketAddress address, EventLoopGroup group, HttpLimits limits, ExchangeHandler handler)
             throws InterruptedException {
-        return start(address, group, () -> limits, RequestMemory.ofHeap(), handler);
+        return start(address, group, () -> limits, ServerResources.ofProcess(), handler);
     }
 
     /**
@@ -68,7 +69,7 @@
      * @param address IP address and port to listen on
      * @param group network threads
      * @param limits supplies the limits in force, which hold for the next request of each connection
-     * @param memory memory for the bodies of requests, which servers of a process may share
+     * @param resources what connections may use, which servers of a process may share
      * @param handler called for each request, on a network thread
      * @return the server, which accepts connections
      * @throws InterruptedException if interrupted before the server listens
@@ -77,7 +78,7 @@
             InetSocketAddress address,
             EventLoopGroup group,
             Supplier<HttpLimits> limits,
-            RequestMemory memory,
+            ServerResources resources,
             ExchangeHandler handler)
             throws InterruptedException {
         ConnectionCounts counts = new ConnectionCounts();
@@ -90,7 +91,7 @@
                 .childOption(
                         ChannelOption.WRITE_BUFFER_WATER_MARK,
                         new WriteBufferWaterMark(MAX_UNSENT_BYTES / 2, MAX_UNSENT_BYTES))
-                .childHandler(new PipelineInitializer(limits, memory, handler, counts))
+                .childHandler(new PipelineInitializer(limits, resources, handler, counts))
                 .bind(address)
                 .sync()
                 .channel();
@@ -158,14 +159,17 @@
 
     private static final class PipelineInitializer extends ChannelInitializer<SocketChannel> {
         private final Supplier<HttpLimits> limits;
-        private final RequestMemory memory;
+        private final ServerResources resources;
         private final ExchangeHandler handler;
         private final ConnectionCounts counts;
 
         PipelineInitializer(
-                Supplier<HttpLimits> limits, RequestMemory memory, ExchangeHandler handler, ConnectionCounts counts) {
+                Supplier<HttpLimits> limits,
+                ServerResources resources,
+                ExchangeHandler handler,
+                ConnectionCounts counts) {
             this.limits = limits;
-            this.memory = memory;
+            this.resources = resources;
             this.handler = handler;
             this.counts = counts;
         }
@@ -175,13 +179,13 @@
             HttpDecoderConfig config = new HttpDecoderConfig()
                     .setMaxInitialLineLength(MAX_LINE_BYTES)
                     .setMaxHeaderSize(Math.max(MAX_HEADER_BYTES, limits.get().maxHeaderBytes()));
-            ConnectionTimeouts timeouts = new ConnectionTimeouts(limits, counts);
+            ConnectionTimeouts timeouts = new ConnectionTimeouts(limits, counts, resources.counters());
             socket.pipeline()
                     .addLast(timeouts.beforeCodec())
                     .addLast(new HttpServerCodec(config))
                     .addLast(timeouts.afterCodec())
-                    .addLast(new RequestAssembler(limits, memory))
-                    .addLast(new Dispatcher(handler, timeouts));
+                    .addLast(new RequestAssembler(limits, resources.requests()))
+                    .addLast(new Dispatcher(handler, timeouts, resources.counters()));
         }
     }
 
@@ -189,21 +193,28 @@
     private static final class Dispatcher extends SimpleChannelInboundHandler<ReceivedRequest> {
         private final ExchangeHandler handler;
         private final ConnectionTimeouts timeouts;
+        private final ServerCounters counters;
         private final Deque<HttpExchange> pipelined = new ArrayDeque<>();
         private @Nullable HttpExchange current;
 
-        Dispatcher(ExchangeHandler handler, ConnectionTimeouts timeouts) {
+        Dispatcher(ExchangeHandler handler, ConnectionTimeouts timeouts, ServerCounters counters) {
             this.handler = handler;
             this.timeouts = timeouts;
+            this.counters = counters;
         }
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, ReceivedRequest request) {
+            if (!context.channel().isActive()) {
+                // The codec passes on what it has of an incomplete request when the connection ends.
+                request.body().release();
+                return;
+            }
             HttpExchange exchange = new HttpExchange(
                     context.channel(), request, () -> context.executor().execute(() -> onResponded(context)));
             if (pipelined.size() >= MAX_PIPELINED_REQUESTS) {
-                exchange.connectionClosed();
-                context.close();
+                exchange.connectionClosed(ConnectionEnd.PIPELINED_REQUESTS);
+                ServerResources.close(context.channel(), ConnectionEnd.PIPELINED_REQUESTS);
             } else {
                 pipelined.add(exchange);
                 handleNext();
@@ -220,7 +231,7 @@
             if (current == null && !pipelined.isEmpty()) {
                 HttpExchange next = pipelined.remove();
                 current = next;
-                if (!next.refuseUnread()) {
+                if (!next.refuseUnread(counters)) {
                     handler.handle(next);
                 }
             }
@@ -228,16 +239,18 @@
 
         @Override
         public void channelInactive(ChannelHandlerContext context) {
+            ConnectionEnd end = ServerResources.endOf(context.channel());
             if (current != null) {
-                current.connectionClosed();
+                current.connectionClosed(end);
             }
-            pipelined.forEach(HttpExchange::connectionClosed);
+            pipelined.forEach(exchange -> exchange.connectionClosed(end));
             pipelined.clear();
         }
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            context.close();
+            ServerResources.close(
+                    context.channel(), cause instanceof IOException ? ConnectionEnd.PEER : ConnectionEnd.FAILURE);
         }
     }
 }
--- a/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/RequestAssembler.java
+++ b/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/RequestAssembler.java
@@ -144,7 +144,7 @@
     private void skip(ChannelHandlerContext context, ByteBuf part) {
         skippedBytes += part.readableBytes();
         if (skippedBytes > MAX_SKIPPED_BYTES) {
-            context.close();
+            ServerResources.close(context.channel(), ConnectionEnd.SKIPPED_BODY);
         }
     }
 
--- /dev/null
+++ b/siskinlead-protocol/src/test/java/org/siskinlead/protocol/http/ConnectionEndTest.java
@@ -0,0 +1,88 @@
+package org.siskinlead.protocol.http;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Tests that a server tells apart who closed a connection, and why. */
+class ConnectionEndTest {
+    private static final HttpLimits LIMITS = new HttpLimits(1_000, 2_000, 5_000, 300);
+    private static final long MAX_WAIT_S = 20;
+
+    private final EventLoopGroup network = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final ServerResources resources = ServerResources.ofProcess();
+    private final BlockingQueue<ConnectionEnd> ends = new LinkedBlockingQueue<>();
+    private final BlockingQueue<HttpExchange> requests = new LinkedBlockingQueue<>();
+    private HttpServer server;
+
+    @BeforeEach
+    void start() throws InterruptedException {
+        server = HttpServer.start(new InetSocketAddress("127.0.0.1", 0), network, () -> LIMITS, resources, exchange -> {
+            exchange.onClosed(ends::add);
+            requests.add(exchange);
+        });
+    }
+
+    @AfterEach
+    void stop() {
+        server.close();
+        network.shutdownGracefully();
+    }
+
+    // Guards against a connection that the peer closed being counted as closed by the server.
+    @Test
+    void namesThePeerThatLeaves() throws Exception {
+        try (Socket socket = connect("GET / HTTP/1.1\r\nHost: h\r\n\r\n")) {
+            assertThat(requests.poll(MAX_WAIT_S, TimeUnit.SECONDS)).isNotNull();
+            assertThat(socket.isConnected()).isTrue();
+        }
+
+        assertThat(ends.poll(MAX_WAIT_S, TimeUnit.SECONDS)).isEqualTo(ConnectionEnd.PEER);
+        assertThat(count("closed.peer")).isEqualTo(1);
+    }
+
+    // Guards against a connection that a limit of the server closed being reported as one whose peer left.
+    @Test
+    void namesTheLimitThatClosesAConnection() throws Exception {
+        try (Socket socket = connect("GET / HTTP/1.1\r\nHost: h\r\n\r\n".repeat(20))) {
+            assertThat(socket.isConnected()).isTrue();
+            assertThat(ends.poll(MAX_WAIT_S, TimeUnit.SECONDS)).isEqualTo(ConnectionEnd.PIPELINED_REQUESTS);
+        }
+
+        assertThat(resources.counters().limitCounts()).containsExactly("closed.pipelined_requests", 1L);
+    }
+
+    // Guards against timeouts that leave no trace.
+    @Test
+    void countsAHeaderSectionThatDoesNotArriveInTime() throws Exception {
+        try (Socket socket = connect("GET / HTTP/1.1\r\n")) {
+            assertWithMessage("bytes before the end")
+                    .that(socket.getInputStream().read())
+                    .isEqualTo(-1);
+        }
+
+        assertThat(resources.counters().limitCounts()).containsExactly("closed.header_timeout", 1L);
+    }
+
+    private Socket connect(String text) throws Exception {
+        Socket socket = new Socket("127.0.0.1", server.port());
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+        return socket;
+    }
+
+    private long count(String name) {
+        return resources.counters().values().getOrDefault(name, -1L);
+    }
+}
