A header section of short lines within the limit is not refused

What callers saw: 431 for a request of 4,000 header lines in 16,000 bytes; `max_header_bytes` is 16,384.

Cause: the size of a header section was computed with 4 bytes for colon, space and line end of each line. The space is optional.

--- a/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/RequestAssembler.java
+++ b/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/RequestAssembler.java
@@ -32,8 +32,8 @@
     /** Bytes of a refused body that are read so that the next request of the connection can be found. */
     private static final long MAX_SKIPPED_BYTES = 16_777_216;
 
-    /** Bytes of a header field besides its name and value: colon, space and line end. */
-    private static final int FIELD_OVERHEAD_BYTES = 4;
+    /** Least bytes of a header field besides its name and value: colon and line end. */
+    private static final int FIELD_OVERHEAD_BYTES = 3;
 
     private final Supplier<HttpLimits> limits;
     private final RequestMemory memory;
--- a/siskinlead-protocol/src/test/java/org/siskinlead/protocol/http/RequestAssemblerTest.java
+++ b/siskinlead-protocol/src/test/java/org/siskinlead/protocol/http/RequestAssemblerTest.java
@@ -103,6 +103,15 @@
         assertThat(((ReceivedRequest) connection.readInbound()).refusal()).isEqualTo(Refusal.BODY_TOO_LARGE);
     }
 
+    // Guards against refusing a header section whose bytes, without the spaces that are optional, are within the limit.
+    @Test
+    void takesAHeaderSectionOfShortLinesWithinItsLimit() {
+        EmbeddedChannel connection = connect();
+        send(connection, "GET /x HTTP/1.1\r\n" + "a:\r\n".repeat(500) + "\r\n");
+
+        assertThat(((ReceivedRequest) connection.readInbound()).refusal()).isEqualTo(Refusal.NONE);
+    }
+
     private ReceivedRequest receiveLong() {
         EmbeddedChannel connection = connect();
         send(connection, post(MAX_BODY_BYTES - 50_000) + "x".repeat(MAX_BODY_BYTES - 50_000));
