Header sections are charged at the cost of their objects, one request of a connection at a time

Cause: the codec decoded all requests that had arrived on a connection before the first was answered, and only bodies were counted. A header line costs about 300 bytes of objects, whatever its length on the wire: 16 kB of them take over a megabyte.

Change: `RequestDecoder` stays before the next request while one is being answered, `InputGate` then stops reading, and the operating system holds 64 kB of a connection (it held several MB). `CountedHeaders` charges each line to `RequestMemory`, before it is stored; what does not fit is refused with 503, "not run". Undecoded bytes of all connections have an eighth of the heap; beyond it the connection with most is closed. More than 8 pipelined requests are answered one after the other; before, they closed the connection, so ConnectionEndTest names this limit now in place of that one.

Without network: UntrustedInputTest, InputGateTest.

Ruled out: a smaller `max_header_bytes` refuses requests inside the limits; holding back decoded messages comes after their cost.

--- a/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/ConnectionTimeouts.java
+++ b/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/ConnectionTimeouts.java
@@ -35,6 +35,11 @@
         this.counters = counters;
     }
 
+    /** Tells whether a request has arrived whole and is not yet answered. */
+    boolean isAnswering() {
+        return unanswered > 0;
+    }
+
     /**
      * Creates a handler of raw bytes, which times a slowly sent header section from its first byte. It passes on the last
      * byte by itself: the codec completes a request with its last byte, so the next request has begun to arrive if the
@@ -77,18 +82,25 @@
         };
     }
 
-    /** Creates a handler of decoded messages, which limits the silence within a body. */
-    ChannelInboundHandlerAdapter afterCodec() {
+    /**
+     * Creates a handler of decoded messages, which limits the silence within a body.
+     * @param decoder decoder of the messages, which may hold a part of the next request
+     */
+    ChannelInboundHandlerAdapter afterCodec(RequestDecoder decoder) {
         return new ChannelInboundHandlerAdapter() {
             @Override
             public void channelRead(ChannelHandlerContext context, Object message) {
                 if (message instanceof LastHttpContent) {
                     cancelTimer();
                     unanswered++;
-                    arriving = false;
+                    arriving = decoder.undecodedBytes() > 0;
                     arrivingBody = false;
                     if (unanswered == 0) {
-                        onIdle(context);
+                        if (arriving) {
+                            scheduleArrivalTimeout(context);
+                        } else {
+                            onIdle(context);
+                        }
                     }
                 } else if (message instanceof HttpRequest || message instanceof HttpContent) {
                     arrivingBody = true;
--- a/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/HttpClient.java
+++ b/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/HttpClient.java
@@ -58,10 +58,13 @@
     private static final int INITIAL_READ_BYTES = 2_048;
     private static final AttributeKey<Exchange> EXCHANGE = AttributeKey.valueOf("exchange");
 
+    /** Bytes of all responses together; a heap of 96 MB also holds their copies while they are decoded. */
+    static final int MAX_RECEIVED_BYTES = 8_388_608;
+
     private final EventLoopGroup group;
     private final int connectTimeoutMillis;
     private final Map<InetSocketAddress, Deque<Channel>> idleChannels = new ConcurrentHashMap<>();
-    private final ReceivedBytes received = new ReceivedBytes();
+    private final ConnectionBytes received = ConnectionBytes.of(MAX_RECEIVED_BYTES, Channel::close);
 
     private HttpClient(EventLoopGroup group, int connectTimeoutMillis) {
         this.group = group;
--- a/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/HttpExchange.java
+++ b/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/HttpExchange.java
@@ -28,6 +28,12 @@
 
 /** HTTP request and its response. The response may be sent once, from any thread. */
 public final class HttpExchange {
+    /** What an exchange tells the handlers of its connection. */
+    enum ConnectionEvent {
+        /** The last response of the connection is sent; what still arrives is not read. */
+        LAST_RESPONSE_SENT
+    }
+
     /** {@code Retry-After} in seconds of a request that is refused for lack of memory. */
     private static final String RETRY_AFTER_S = "1";
     /** Longest wait, after the last response of a connection, for the peer to close it. */
@@ -270,7 +276,9 @@
             return false;
         }
         counters.increment(refusal);
-        if (refusal == ReceivedRequest.Refusal.MALFORMED || HttpUtil.is100ContinueExpected(received.head())) {
+        if (received.head().decoderResult().isFailure()
+                || refusal == ReceivedRequest.Refusal.MALFORMED
+                || HttpUtil.is100ContinueExpected(received.head())) {
             // What follows may be a request, or the body that was not awaited.
             closeAfterResponse();
         }
@@ -320,6 +328,7 @@
     private void closeAfterPeer() {
         if (channel instanceof DuplexChannel duplex && channel.isActive()) {
             duplex.shutdownOutput();
+            channel.pipeline().fireUserEventTriggered(ConnectionEvent.LAST_RESPONSE_SENT);
             channel.eventLoop()
                     .schedule(
                             () -> ServerResources.close(channel, ConnectionEnd.LAST_RESPONSE),
--- a/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/HttpServer.java
+++ b/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/HttpServer.java
@@ -8,12 +8,8 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpServerCodec;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -21,12 +17,13 @@
 
 /** HTTP/1.1 server that hands each request to a handler as an {@link HttpExchange}. */
 public final class HttpServer implements AutoCloseable {
-    private static final int MAX_LINE_BYTES = 8_192;
-    /** Largest header section that is decoded, so that a limit that is raised also holds for open connections. */
-    private static final int MAX_HEADER_BYTES = 65_536;
-
     private static final int BACKLOG = 1_024;
-    private static final int MAX_PIPELINED_REQUESTS = 8;
+    /**
+     * Bytes that the operating system holds for a connection until they are read. Without a bound it takes several MB,
+     * which would still be decoded after the peer has gone.
+     */
+    private static final int RECEIVE_BUFFER_BYTES = 65_536;
+
     /** High-water mark of unsent bytes: above it {@link HttpExchange#isReaderSlow} is true, until half are left. */
     private static final int MAX_UNSENT_BYTES = 1_048_576;
 
@@ -87,6 +84,7 @@
                 .channelFactory(ListeningChannel::new)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
+                .option(ChannelOption.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(
                         ChannelOption.WRITE_BUFFER_WATER_MARK,
@@ -176,30 +174,32 @@
 
         @Override
         protected void initChannel(SocketChannel socket) {
-            HttpDecoderConfig config = new HttpDecoderConfig()
-                    .setMaxInitialLineLength(MAX_LINE_BYTES)
-                    .setMaxHeaderSize(Math.max(MAX_HEADER_BYTES, limits.get().maxHeaderBytes()));
             ConnectionTimeouts timeouts = new ConnectionTimeouts(limits, counts, resources.counters());
+            RequestDecoder decoder = RequestDecoder.of(limits, resources.requests(), timeouts::isAnswering);
+            InputGate gate = InputGate.of(decoder, resources.undecoded());
             socket.pipeline()
                     .addLast(timeouts.beforeCodec())
-                    .addLast(new HttpServerCodec(config))
-                    .addLast(timeouts.afterCodec())
+                    .addLast(gate)
+                    .addLast(decoder)
+                    .addLast(ResponseEncoder.of(decoder))
+                    .addLast(timeouts.afterCodec(decoder))
                     .addLast(new RequestAssembler(limits, resources.requests()))
-                    .addLast(new Dispatcher(handler, timeouts, resources.counters()));
+                    .addLast(new Dispatcher(handler, timeouts, gate, resources.counters()));
         }
     }
 
-    /** Handles pipelined requests one at a time; closes the connection when more than the maximum are waiting. */
+    /** Handles requests. The decoder passes on the next one of a connection only after the response to the last one. */
     private static final class Dispatcher extends SimpleChannelInboundHandler<ReceivedRequest> {
         private final ExchangeHandler handler;
         private final ConnectionTimeouts timeouts;
+        private final InputGate gate;
         private final ServerCounters counters;
-        private final Deque<HttpExchange> pipelined = new ArrayDeque<>();
         private @Nullable HttpExchange current;
 
-        Dispatcher(ExchangeHandler handler, ConnectionTimeouts timeouts, ServerCounters counters) {
+        Dispatcher(ExchangeHandler handler, ConnectionTimeouts timeouts, InputGate gate, ServerCounters counters) {
             this.handler = handler;
             this.timeouts = timeouts;
+            this.gate = gate;
             this.counters = counters;
         }
 
@@ -212,39 +212,23 @@
             }
             HttpExchange exchange = new HttpExchange(
                     context.channel(), request, () -> context.executor().execute(() -> onResponded(context)));
-            if (pipelined.size() >= MAX_PIPELINED_REQUESTS) {
-                exchange.connectionClosed(ConnectionEnd.PIPELINED_REQUESTS);
-                ServerResources.close(context.channel(), ConnectionEnd.PIPELINED_REQUESTS);
-            } else {
-                pipelined.add(exchange);
-                handleNext();
+            current = exchange;
+            if (!exchange.refuseUnread(counters)) {
+                handler.handle(exchange);
             }
         }
 
         private void onResponded(ChannelHandlerContext context) {
             current = null;
             timeouts.onResponded(context);
-            handleNext();
-        }
-
-        private void handleNext() {
-            if (current == null && !pipelined.isEmpty()) {
-                HttpExchange next = pipelined.remove();
-                current = next;
-                if (!next.refuseUnread(counters)) {
-                    handler.handle(next);
-                }
-            }
+            gate.onResponded();
         }
 
         @Override
         public void channelInactive(ChannelHandlerContext context) {
-            ConnectionEnd end = ServerResources.endOf(context.channel());
             if (current != null) {
-                current.connectionClosed(end);
+                current.connectionClosed(ServerResources.endOf(context.channel()));
             }
-            pipelined.forEach(exchange -> exchange.connectionClosed(end));
-            pipelined.clear();
         }
 
         @Override
--- a/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/ReceivedRequest.java
+++ b/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/ReceivedRequest.java
@@ -21,8 +21,8 @@
         MALFORMED("malformed HTTP request"),
         HEADER_TOO_LARGE("the header section is too large"),
         BODY_TOO_LARGE("the body is too large"),
-        /** The bodies of other requests use the memory. */
-        NO_MEMORY("the bodies of other requests use the memory");
+        /** Other requests use the memory. */
+        NO_MEMORY("other requests use the memory");
 
         private final String text;
 
@@ -55,26 +55,23 @@
                 : HttpResponseStatus.BAD_REQUEST;
     }
 
-    /** Bytes of a body, which stay reserved in {@link RequestMemory} until they are released. */
+    /** Bytes of a body, which stay reserved in {@link RequestMemory}, as the header section does, until they are released. */
     static final class Body {
-        private final RequestMemory memory;
+        private final RequestMemory.Reservation reservation;
         private final byte[] bytes;
-        private long reservedBytes;
 
-        Body(RequestMemory memory, byte[] bytes, long reservedBytes) {
-            this.memory = memory;
+        Body(RequestMemory.Reservation reservation, byte[] bytes) {
+            this.reservation = reservation;
             this.bytes = bytes;
-            this.reservedBytes = reservedBytes;
         }
 
         byte[] bytes() {
             return bytes;
         }
 
-        /** Returns the memory; later calls have no effect. */
-        synchronized void release() {
-            memory.release(reservedBytes);
-            reservedBytes = 0;
+        /** Returns the memory of the request; later calls have no effect. */
+        void release() {
+            reservation.releaseAll();
         }
     }
 }
--- a/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/RequestAssembler.java
+++ b/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/RequestAssembler.java
@@ -38,15 +38,19 @@
     private final Supplier<HttpLimits> limits;
     private final RequestMemory memory;
     private @Nullable HttpRequest head;
+    private RequestMemory.Reservation reservation;
     private byte[] bytes = {};
     private int length;
     private int maxBodyBytes;
+    /** Bytes reserved for the body. */
     private long reservedBytes;
+
     private long skippedBytes;
 
     RequestAssembler(Supplier<HttpLimits> limits, RequestMemory memory) {
         this.limits = limits;
         this.memory = memory;
+        this.reservation = memory.newReservation();
     }
 
     @Override
@@ -61,6 +65,8 @@
 
     private void onHead(ChannelHandlerContext context, HttpRequest request) {
         head = request;
+        reservation =
+                request.headers() instanceof CountedHeaders counted ? counted.reservation() : memory.newReservation();
         length = 0;
         bytes = new byte[0];
         reservedBytes = 0;
@@ -68,7 +74,8 @@
         HttpLimits current = limits.get();
         maxBodyBytes = current.maxBodyBytes();
         if (request.decoderResult().isFailure()) {
-            refuse(context, Refusal.MALFORMED);
+            boolean noMemory = request.decoderResult().cause() instanceof CountedHeaders.NoMemoryException;
+            refuse(context, noMemory ? Refusal.NO_MEMORY : Refusal.MALFORMED);
             return;
         }
         if (headerBytes(request) > current.maxHeaderBytes()) {
@@ -114,9 +121,9 @@
             head = null;
             byte[] body = length == bytes.length ? bytes : Arrays.copyOf(bytes, length);
             bytes = new byte[0];
-            memory.release(reservedBytes - length);
+            reservation.release(reservedBytes - length);
             reservedBytes = 0;
-            context.fireChannelRead(new ReceivedRequest(complete, new Body(memory, body, length), Refusal.NONE));
+            context.fireChannelRead(new ReceivedRequest(complete, new Body(reservation, body), Refusal.NONE));
         }
     }
 
@@ -149,7 +156,7 @@
     }
 
     private boolean tryReserve(long count, long bodyBytes) {
-        if (!memory.tryReserve(count, bodyBytes)) {
+        if (!reservation.tryReserve(count, bodyBytes)) {
             return false;
         }
         reservedBytes += count;
@@ -163,11 +170,11 @@
         }
         head = null;
         releaseAll();
-        context.fireChannelRead(new ReceivedRequest(refused, new Body(memory, new byte[0], 0), refusal));
+        context.fireChannelRead(new ReceivedRequest(refused, new Body(reservation, new byte[0]), refusal));
     }
 
     private void releaseAll() {
-        memory.release(reservedBytes);
+        reservation.release(reservedBytes);
         reservedBytes = 0;
         bytes = new byte[0];
     }
--- a/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/RequestMemory.java
+++ b/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/RequestMemory.java
@@ -3,14 +3,15 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
- * Memory for the bodies of all requests that a process holds, from the first byte until the response has ended. What
- * does not fit is refused before its body is read, so that no mix of requests within their limits ends the process.
+ * Memory for the header sections and bodies of all requests that a process holds, from the first byte until the response
+ * has ended. What does not fit is refused before it is stored, so that no mix of requests within their limits ends the
+ * process.
  */
 public final class RequestMemory {
-    /** Largest body that may use all of the memory. Longer ones leave a part of it to short requests. */
+    /** Largest body or header section that may use all of the memory. Longer ones leave a part of it to short requests. */
     static final int SHORT_BODY_BYTES = 16_384;
 
-    /** Part of the heap that bodies may use; the rest is for connections, answers and the state of the process. */
+    /** Part of the heap that requests may use; the rest is for connections, answers and the state of the process. */
     private static final double HEAP_FRACTION = 1.0 / 3;
     /** Part of the memory that bodies above {@link #SHORT_BODY_BYTES} may use. */
     private static final double LONG_BODIES_FRACTION = 0.75;
@@ -25,7 +26,7 @@
 
     /**
      * Creates an account with a given bound.
-     * @param maxBytes bytes of all bodies together
+     * @param maxBytes bytes of all requests together
      * @return the account, of which nothing is used
      */
     public static RequestMemory of(long maxBytes) {
@@ -44,7 +45,7 @@
 
     /**
      * Gets the bound.
-     * @return bytes of all bodies together
+     * @return bytes of all requests together
      */
     public long maxBytes() {
         return maxBytes;
@@ -52,14 +53,14 @@
 
     /**
      * Gets what is reserved.
-     * @return bytes, of bodies that are arriving and of those whose request is not answered
+     * @return bytes, of requests that are arriving and of those that are not answered
      */
     public long usedBytes() {
         return usedBytes.get();
     }
 
     /**
-     * Counts the requests that were refused because their body did not fit.
+     * Counts the requests that were refused because they did not fit.
      * @return requests since the start
      */
     public long refusedCount() {
@@ -91,4 +92,42 @@
     void release(long bytes) {
         usedBytes.addAndGet(-bytes);
     }
+
+    Reservation newReservation() {
+        return new Reservation();
+    }
+
+    /** What one request has reserved. */
+    final class Reservation {
+        private long reservedBytes;
+        private boolean released;
+
+        /**
+         * Reserves more. Nothing is reserved if it does not fit, or if all was released.
+         * @param bytes bytes to reserve
+         * @param partBytes length of the part that is arriving, which decides how much of the memory it may use
+         * @return whether the bytes are reserved
+         */
+        synchronized boolean tryReserve(long bytes, long partBytes) {
+            if (released || !RequestMemory.this.tryReserve(bytes, partBytes)) {
+                return false;
+            }
+            reservedBytes += bytes;
+            return true;
+        }
+
+        /** Returns a part of what is reserved; has no effect after all was released. */
+        synchronized void release(long bytes) {
+            if (!released) {
+                reservedBytes -= bytes;
+                RequestMemory.this.release(bytes);
+            }
+        }
+
+        /** Returns all that is reserved, for good; later calls have no effect. */
+        synchronized void releaseAll() {
+            release(reservedBytes);
+            released = true;
+        }
+    }
 }
--- a/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/ServerResources.java
+++ b/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/ServerResources.java
@@ -7,11 +7,17 @@
 public final class ServerResources {
     private static final AttributeKey<ConnectionEnd> END = AttributeKey.valueOf(ServerResources.class, "end");
 
+    /** Part of the heap that may be held, in buffers outside of it, as bytes that have arrived and are not decoded. */
+    private static final int UNDECODED_DIVISOR = 8;
+
     private final RequestMemory requests;
+    private final ConnectionBytes undecoded;
     private final ServerCounters counters;
 
-    private ServerResources(RequestMemory requests, ServerCounters counters) {
+    private ServerResources(RequestMemory requests, long undecodedBytes, ServerCounters counters) {
         this.requests = requests;
+        this.undecoded =
+                ConnectionBytes.of(undecodedBytes, connection -> close(connection, ConnectionEnd.UNDECODED_BYTES));
         this.counters = counters;
     }
 
@@ -20,14 +26,18 @@
      * @return the resources, of which nothing is used
      */
     public static ServerResources ofProcess() {
-        return new ServerResources(RequestMemory.ofHeap(), ServerCounters.create());
+        return of(RequestMemory.ofHeap(), Runtime.getRuntime().maxMemory() / UNDECODED_DIVISOR);
+    }
+
+    static ServerResources of(RequestMemory requests, long undecodedBytes) {
+        return new ServerResources(requests, undecodedBytes, ServerCounters.create());
     }
 
     // Queries
 
     /**
      * Gets the account of requests.
-     * @return memory for the bodies of requests
+     * @return memory for header sections and bodies
      */
     public RequestMemory requests() {
         return requests;
@@ -41,6 +51,11 @@
         return counters;
     }
 
+    /** Gets the account of bytes that have arrived and are not decoded. */
+    ConnectionBytes undecoded() {
+        return undecoded;
+    }
+
     /** Gets why a connection was closed; {@link ConnectionEnd#PEER} unless the server closed it. */
     static ConnectionEnd endOf(Channel connection) {
         ConnectionEnd end = connection.hasAttr(END) ? connection.attr(END).get() : null;
--- /dev/null
+++ b/siskinlead-protocol/src/test/java/org/siskinlead/protocol/http/UntrustedInputTest.java
@@ -0,0 +1,106 @@
+package org.siskinlead.protocol.http;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Test;
+import org.siskinlead.protocol.http.ReceivedRequest.Refusal;
+
+/** Tests what a server holds for connections whose input costs much more than its bytes. */
+class UntrustedInputTest {
+    private static final HttpLimits LIMITS = new HttpLimits(400_000, 16_384, 30);
+    private static final int LINES = 4_000;
+    private static final String HEAD = "GET /x HTTP/1.1\r\n" + "a:\r\n".repeat(LINES) + "\r\n";
+
+    private final RequestMemory memory = RequestMemory.of(3_000_000);
+    private boolean answering;
+
+    // Guards against pipelined requests that are all decoded into objects before the first is answered.
+    @Test
+    void decodesOneRequestAtATime() {
+        RequestDecoder decoder = decoder();
+        EmbeddedChannel connection = connect(decoder);
+        answering = true;
+        send(connection, "GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+
+        assertThat((Object) connection.readInbound()).isNull();
+
+        answering = false;
+        decoder.resume();
+
+        assertThat(connection.<ReceivedRequest>readInbound().head().uri()).isEqualTo("/1");
+    }
+
+    // Guards against counting short header lines by their bytes, which are a fraction of the cost of their objects.
+    @Test
+    void chargesHeaderLinesAtTheCostOfTheirObjects() {
+        EmbeddedChannel connection = connect(decoder());
+        send(connection, HEAD);
+        ReceivedRequest request = connection.readInbound();
+
+        assertThat(request.refusal()).isEqualTo(Refusal.NONE);
+        assertThat(memory.usedBytes()).isAtLeast((long) LINES * CountedHeaders.LINE_HEAP_BYTES);
+
+        request.body().release();
+
+        assertThat(memory.usedBytes()).isEqualTo(0);
+    }
+
+    // Guards against header sections that use up the memory together, each within its limit.
+    @Test
+    void refusesAHeaderSectionThatDoesNotFitBesideOthersAsNotRun() {
+        EmbeddedChannel first = connect(decoder());
+        send(first, HEAD);
+        EmbeddedChannel second = connect(decoder());
+        send(second, HEAD);
+        ReceivedRequest refused = second.readInbound();
+
+        assertThat(refused.refusal()).isEqualTo(Refusal.NO_MEMORY);
+        assertThat(refused.refusalStatus()).isEqualTo(503);
+        assertThat(refused.head().headers().isEmpty()).isTrue();
+    }
+
+    // Guards against memory that stays reserved for a connection that has ended.
+    @Test
+    void returnsTheMemoryOfAHeaderSectionThatBreaksOff() {
+        EmbeddedChannel connection = connect(decoder());
+        send(connection, HEAD.substring(0, 5_000));
+
+        assertThat(memory.usedBytes()).isGreaterThan(0L);
+
+        connection.close();
+        connection.<ReceivedRequest>readInbound().body().release();
+
+        assertThat(memory.usedBytes()).isEqualTo(0);
+    }
+
+    // Guards against undecoded bytes of many connections that use up the memory together.
+    @Test
+    void closesTheConnectionThatHoldsMostWhenAllHoldTooMuch() {
+        ConnectionBytes bytes = ConnectionBytes.of(100, Channel::close);
+        EmbeddedChannel small = new EmbeddedChannel();
+        EmbeddedChannel large = new EmbeddedChannel();
+        bytes.set(large, 90);
+        bytes.set(small, 20);
+        large.runPendingTasks();
+
+        assertThat(large.isOpen()).isFalse();
+        assertThat(small.isOpen()).isTrue();
+        assertThat(bytes.totalBytes()).isEqualTo(20);
+    }
+
+    private RequestDecoder decoder() {
+        return RequestDecoder.of(() -> LIMITS, memory, () -> answering);
+    }
+
+    private EmbeddedChannel connect(RequestDecoder decoder) {
+        return new EmbeddedChannel(decoder, new RequestAssembler(() -> LIMITS, memory));
+    }
+
+    private static void send(EmbeddedChannel connection, String text) {
+        connection.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
+    }
+}
