A header section is refused at the line that exceeds its limit

What callers saw: a request line followed by short lines without end ended the process (code 3), in both forms and through every port.

Cause: the size of a header section was checked when it was complete. Until then the codec stored 65,536 bytes of lines, a multiple of that in objects, for each connection.

Change: `CountedHeaders` counts name, value, colon and line end of each line and refuses the one that exceeds `max_header_bytes` with 431; the connection is closed. Trailers, which nothing reads, are decoded and not stored. The check of the complete section, which did the same work again, is gone.

UntrustedInputTest.refusesAHeaderSectionAtItsLimit and storesNoTrailers need no network.

--- a/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/CountedHeaders.java
+++ b/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/CountedHeaders.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import java.io.Serial;
 
 /**
@@ -9,6 +10,9 @@
  * objects, which for short lines is many times their length on the wire; a line too many is refused before it is stored.
  */
 final class CountedHeaders extends DefaultHttpHeaders {
+    /** Bytes of a header line besides its name and value: colon and line end; a space is optional. */
+    static final int FIELD_OVERHEAD_BYTES = 3;
+
     /**
      * Heap bytes of a header line besides the characters of its name and value: the codec's entry, name and value (about
      * 140), and the fields of {@link HttpExchange} and of the request to the target (about 150).
@@ -22,19 +26,23 @@
     private static final int BLOCK_BYTES = 4_096;
 
     private final RequestMemory.Reservation reservation;
+    private final int maxBytes;
+    private long bytes;
     private long heapBytes;
     private long reservedBytes;
 
-    private CountedHeaders(RequestMemory.Reservation reservation) {
+    private CountedHeaders(RequestMemory.Reservation reservation, int maxBytes) {
         this.reservation = reservation;
+        this.maxBytes = maxBytes;
     }
 
     /**
      * Creates an empty header section.
      * @param reservation what the request has reserved
+     * @param maxBytes largest header section in bytes
      */
-    static CountedHeaders of(RequestMemory.Reservation reservation) {
-        return new CountedHeaders(reservation);
+    static CountedHeaders of(RequestMemory.Reservation reservation, int maxBytes) {
+        return new CountedHeaders(reservation, maxBytes);
     }
 
     RequestMemory.Reservation reservation() {
@@ -45,6 +53,11 @@
     @Override
     public HttpHeaders add(CharSequence name, Object value) {
         int characters = name.length() + value.toString().length();
+        bytes += characters + FIELD_OVERHEAD_BYTES;
+        if (bytes > maxBytes) {
+            clear();
+            throw new TooLongHttpHeaderException("the header section exceeds " + maxBytes + " bytes");
+        }
         heapBytes += LINE_HEAP_BYTES + (long) CHARACTER_HEAP_BYTES * characters;
         if (heapBytes > reservedBytes) {
             long more = Math.max(BLOCK_BYTES, heapBytes - reservedBytes);
--- a/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/ReceivedRequest.java
+++ b/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/ReceivedRequest.java
@@ -17,7 +17,7 @@
     /** Why a request is refused before its body is read. */
     enum Refusal {
         NONE(""),
-        /** The request is not valid HTTP, or exceeds the limits that apply while it is decoded. */
+        /** The request is not valid HTTP, or its first line is too long. */
         MALFORMED("malformed HTTP request"),
         HEADER_TOO_LARGE("the header section is too large"),
         BODY_TOO_LARGE("the body is too large"),
@@ -30,6 +30,14 @@
             this.text = text;
         }
 
+        /** Gets why a request cannot be decoded. */
+        static Refusal of(Throwable cause) {
+            if (cause instanceof CountedHeaders.NoMemoryException) {
+                return NO_MEMORY;
+            }
+            return cause instanceof TooLongHttpHeaderException ? HEADER_TOO_LARGE : MALFORMED;
+        }
+
         String text() {
             return text;
         }
@@ -47,9 +55,6 @@
     }
 
     private static HttpResponseStatus malformedStatus(@Nullable Throwable cause) {
-        if (cause instanceof TooLongHttpHeaderException) {
-            return HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE;
-        }
         return cause instanceof TooLongHttpLineException
                 ? HttpResponseStatus.REQUEST_URI_TOO_LONG
                 : HttpResponseStatus.BAD_REQUEST;
--- a/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/RequestAssembler.java
+++ b/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/RequestAssembler.java
@@ -13,8 +13,6 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.Arrays;
-import java.util.Iterator;
-import java.util.Map;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 import org.siskinlead.protocol.http.ReceivedRequest.Body;
@@ -32,9 +30,6 @@
     /** Bytes of a refused body that are read so that the next request of the connection can be found. */
     private static final long MAX_SKIPPED_BYTES = 16_777_216;
 
-    /** Least bytes of a header field besides its name and value: colon and line end. */
-    private static final int FIELD_OVERHEAD_BYTES = 3;
-
     private final Supplier<HttpLimits> limits;
     private final RequestMemory memory;
     private @Nullable HttpRequest head;
@@ -74,12 +69,7 @@
         HttpLimits current = limits.get();
         maxBodyBytes = current.maxBodyBytes();
         if (request.decoderResult().isFailure()) {
-            boolean noMemory = request.decoderResult().cause() instanceof CountedHeaders.NoMemoryException;
-            refuse(context, noMemory ? Refusal.NO_MEMORY : Refusal.MALFORMED);
-            return;
-        }
-        if (headerBytes(request) > current.maxHeaderBytes()) {
-            refuse(context, Refusal.HEADER_TOO_LARGE);
+            refuse(context, Refusal.of(request.decoderResult().cause()));
             return;
         }
         long declaredLength = HttpUtil.getContentLength(request, -1L);
@@ -93,17 +83,6 @@
         }
     }
 
-    private static long headerBytes(HttpRequest request) {
-        long count = 0;
-        Iterator<Map.Entry<CharSequence, CharSequence>> fields =
-                request.headers().iteratorCharSequence();
-        while (fields.hasNext()) {
-            Map.Entry<CharSequence, CharSequence> field = fields.next();
-            count += field.getKey().length() + field.getValue().length() + FIELD_OVERHEAD_BYTES;
-        }
-        return count;
-    }
-
     private void onContent(ChannelHandlerContext context, HttpContent content) {
         if (head != null && content.decoderResult().isFailure()) {
             refuse(context, Refusal.MALFORMED);
--- a/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/RequestDecoder.java
+++ b/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/RequestDecoder.java
@@ -42,11 +42,12 @@
      * @param isAnswering tells whether a request of the connection has arrived whole and is not yet answered
      */
     static RequestDecoder of(Supplier<HttpLimits> limits, RequestMemory memory, BooleanSupplier isAnswering) {
-        Sections sections = new Sections(memory);
+        Sections sections = new Sections(limits, memory);
         HttpDecoderConfig config = new HttpDecoderConfig()
                 .setMaxInitialLineLength(MAX_LINE_BYTES)
                 .setMaxHeaderSize(Math.max(MAX_HEADER_BYTES, limits.get().maxHeaderBytes()))
-                .setHeadersFactory(sections);
+                .setHeadersFactory(sections)
+                .setTrailersFactory(DiscardedTrailers.FACTORY);
         return new RequestDecoder(config, isAnswering, sections);
     }
 
@@ -119,10 +120,12 @@
 
     /** Creates the header sections of one connection. */
     private static final class Sections implements HttpHeadersFactory {
+        private final Supplier<HttpLimits> limits;
         private final RequestMemory memory;
         private RequestMemory.@Nullable Reservation latest;
 
-        Sections(RequestMemory memory) {
+        Sections(Supplier<HttpLimits> limits, RequestMemory memory) {
+            this.limits = limits;
             this.memory = memory;
         }
 
@@ -130,7 +133,7 @@
         public HttpHeaders newHeaders() {
             RequestMemory.Reservation reservation = memory.newReservation();
             latest = reservation;
-            return CountedHeaders.of(reservation);
+            return CountedHeaders.of(reservation, limits.get().maxHeaderBytes());
         }
 
         @Override
--- a/siskinlead-protocol/src/test/java/org/siskinlead/protocol/http/UntrustedInputTest.java
+++ b/siskinlead-protocol/src/test/java/org/siskinlead/protocol/http/UntrustedInputTest.java
@@ -92,6 +92,29 @@
         assertThat(bytes.totalBytes()).isEqualTo(20);
     }
 
+    // Guards against storing a header section up to the limit of the codec before it is refused.
+    @Test
+    void refusesAHeaderSectionAtItsLimit() {
+        EmbeddedChannel connection = connect(decoder());
+        send(connection, "GET /x HTTP/1.1\r\n" + "a:b\r\n".repeat(LINES));
+        ReceivedRequest refused = connection.readInbound();
+
+        assertThat(refused.refusalStatus()).isEqualTo(431);
+        assertThat(refused.head().headers().isEmpty()).isTrue();
+    }
+
+    // Guards against trailers that are stored although nothing reads them.
+    @Test
+    void storesNoTrailers() {
+        EmbeddedChannel connection = connect(decoder());
+        send(connection, "POST /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n" + "a:b\r\n".repeat(LINES));
+        long before = memory.usedBytes();
+        send(connection, "\r\n");
+
+        assertThat(connection.<ReceivedRequest>readInbound().refusal()).isEqualTo(Refusal.NONE);
+        assertThat(before).isLessThan(10_000L);
+    }
+
     private RequestDecoder decoder() {
         return RequestDecoder.of(() -> LIMITS, memory, () -> answering);
     }
