A connection reads less in a turn while its input takes long to decode

Cause: the network thread read up to 16 buffers of up to 64 kB of a connection before the next connection had its turn, and decoded all of it, whatever it cost. It also went through what closed connections had left, several MB each.

Change: `FairReads` lets a connection read one buffer a turn. The measure is time, not the number of parts, so that it holds for forms that nobody has thought of. The timeout of a body is restarted once for each read, not for each of its chunks.

UntrustedInputTest.readsLittleAtOnceOfInputThatTakesLongToDecode needs no network.

--- a/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/ConnectionTimeouts.java
+++ b/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/ConnectionTimeouts.java
@@ -28,6 +28,8 @@
     private boolean arriving;
     /** Whether the header section of the arriving request is complete. */
     private boolean arrivingBody;
+    /** Whether a part of a body has arrived with the current read. */
+    private boolean contentArrived;
 
     ConnectionTimeouts(Supplier<HttpLimits> limits, ConnectionCounts counts, ServerCounters counters) {
         this.limits = limits;
@@ -102,12 +104,24 @@
                             onIdle(context);
                         }
                     }
-                } else if (message instanceof HttpRequest || message instanceof HttpContent) {
+                } else if (message instanceof HttpRequest) {
                     arrivingBody = true;
                     scheduleArrivalTimeout(context);
+                } else if (message instanceof HttpContent) {
+                    contentArrived = true;
                 }
                 context.fireChannelRead(message);
             }
+
+            /** Restarts the timeout once for all parts of a read, of which there may be very many. */
+            @Override
+            public void channelReadComplete(ChannelHandlerContext context) {
+                if (contentArrived && arrivingBody) {
+                    scheduleArrivalTimeout(context);
+                }
+                contentArrived = false;
+                context.fireChannelReadComplete();
+            }
         };
     }
 
--- a/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/HttpServer.java
+++ b/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/HttpServer.java
@@ -86,6 +86,7 @@
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .option(ChannelOption.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, FairReads.create())
                 .childOption(
                         ChannelOption.WRITE_BUFFER_WATER_MARK,
                         new WriteBufferWaterMark(MAX_UNSENT_BYTES / 2, MAX_UNSENT_BYTES))
--- a/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/InputGate.java
+++ b/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/InputGate.java
@@ -50,6 +50,7 @@
 
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
+        FairReads.onDecoded(context.channel(), decoder.takeDecodingNanos());
         update(context);
         context.fireChannelReadComplete();
     }
--- a/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/RequestDecoder.java
+++ b/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/RequestDecoder.java
@@ -28,6 +28,7 @@
     private HttpMethod method = HttpMethod.GET;
     private @Nullable ChannelHandlerContext context;
     private boolean discarding;
+    private long decodingNanos;
 
     private RequestDecoder(HttpDecoderConfig config, BooleanSupplier isAnswering, Sections sections) {
         super(config);
@@ -70,6 +71,13 @@
 
     // Commands
 
+    /** Gets the time that decoding has taken since the last call, in nanoseconds. */
+    long takeDecodingNanos() {
+        long nanos = decodingNanos;
+        decodingNanos = 0;
+        return nanos;
+    }
+
     /** Decodes what has been held back. */
     void resume() {
         ChannelHandlerContext added = context;
@@ -103,7 +111,9 @@
         if (isPaused()) {
             return;
         }
+        long startedAtNanos = System.nanoTime();
         super.decode(decodeContext, in, out);
+        decodingNanos += System.nanoTime() - startedAtNanos;
         for (Object part : out) {
             if (part instanceof HttpRequest request) {
                 method = request.method();
--- a/siskinlead-protocol/src/test/java/org/siskinlead/protocol/http/UntrustedInputTest.java
+++ b/siskinlead-protocol/src/test/java/org/siskinlead/protocol/http/UntrustedInputTest.java
@@ -4,6 +4,7 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.nio.charset.StandardCharsets;
 import org.junit.jupiter.api.Test;
@@ -115,6 +116,31 @@
         assertThat(before).isLessThan(10_000L);
     }
 
+    // Guards against one connection whose input takes long to decode and keeps all others waiting.
+    @Test
+    void readsLittleAtOnceOfInputThatTakesLongToDecode() {
+        EmbeddedChannel connection = new EmbeddedChannel();
+        connection.config().setRecvByteBufAllocator(FairReads.create());
+        RecvByteBufAllocator.Handle reads = connection.unsafe().recvBufAllocHandle();
+        for (int i = 0; i < 8; i++) {
+            reads.lastBytesRead(reads.guess());
+            FairReads.onDecoded(connection, FairReads.MAX_TURN_NANOS);
+        }
+        int cheap = reads.guess();
+        for (int i = 0; i < 20; i++) {
+            reads.lastBytesRead(reads.guess());
+            FairReads.onDecoded(connection, FairReads.MAX_TURN_NANOS + 1);
+        }
+
+        assertThat(cheap).isEqualTo(FairReads.MAX_READ_BYTES);
+        assertThat(reads.guess()).isEqualTo(FairReads.MIN_READ_BYTES);
+
+        reads.lastBytesRead(reads.guess());
+        FairReads.onDecoded(connection, 1);
+
+        assertThat(reads.guess()).isGreaterThan(FairReads.MIN_READ_BYTES);
+    }
+
     private RequestDecoder decoder() {
         return RequestDecoder.of(() -> LIMITS, memory, () -> answering);
     }
