Connections of callers are bounded by sockets, and sound callers go last

What callers saw: clients that open connections and leave them, or never finish a header section, took all descriptors of a daemon; 250 sound callers beside 800 of them got no answer at all, and the readiness, directory and metrics ports did not answer either.

Cause: nothing limited the connections of a daemon; a connection to a target needs a descriptor too.

Change: `OpenConnections` admits connections within the sockets that the settings name (`limits.max_fds` less the 200 descriptors that the platform reserves for files; own form: `--max-sockets`, by default the limit on open files less 96), less an eighth for the store, listeners and state reports, and within a quarter of the heap. One whose request is being answered counts twice, since it takes a connection to a target. To make room, connections are closed in this order, the oldest first: those that never finished a header section, those whose last request was refused for a fault of its own, those on which a request is arriving, idle ones; never one whose request is being answered. Readiness and metrics have connections and memory of their own.

--- a/siskinlead-daemon/src/main/java/org/siskinlead/daemon/Daemon.java
+++ b/siskinlead-daemon/src/main/java/org/siskinlead/daemon/Daemon.java
@@ -47,8 +47,8 @@
     private final EventLoopGroup eventLoopGroup =
             new MultiThreadIoEventLoopGroup(NETWORK_THREADS, NioIoHandler.newFactory());
     private final CountDownLatch drained = new CountDownLatch(1);
-    private final ServerResources serverResources = ServerResources.ofProcess();
     private final Settings settings;
+    private final ServerResources serverResources;
     private final Node node;
     private final PeerLinks peers;
     private final PlatformClient platform;
@@ -59,6 +59,7 @@
 
     private Daemon(Settings settings) {
         this.settings = settings;
+        serverResources = ServerResources.ofSockets(settings.maxSockets());
         long incarnation = System.currentTimeMillis();
         ids = newIdSupplier(settings.vm(), incarnation);
         Member self = Member.joining(
@@ -153,6 +154,10 @@
                 metrics,
                 "heap.used_bytes",
                 () -> Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory());
+        registerGauge(metrics, "connections.open", () ->
+                (long) serverResources.connections().count());
+        registerGauge(metrics, "connections.max_sockets", () ->
+                (long) serverResources.connections().maxSockets());
         ServerCounters counters = serverResources.counters();
         for (String name : counters.values().keySet()) {
             registerGauge(
--- a/siskinlead-daemon/src/main/java/org/siskinlead/daemon/settings/Setting.java
+++ b/siskinlead-daemon/src/main/java/org/siskinlead/daemon/settings/Setting.java
@@ -43,10 +43,18 @@
             "target selection policy",
             "flow-weighted, least-loaded or round-robin",
             Setting::isSelector),
+    MAX_SOCKETS(
+            "max-sockets",
+            "",
+            "sockets that this daemon may have open; by default what its limit on open files leaves",
+            "a whole number from 64, or nothing",
+            Setting::isSocketCount),
     LOG_LEVEL("log-level", "info", "lowest level that is logged", "error, warn, info or debug", Setting::isLogLevel);
 
     private static final Pattern NAME = Pattern.compile("[A-Za-z0-9.-]{1,64}");
     private static final Pattern SHA256 = Pattern.compile("[0-9a-f]{64}");
+    private static final Pattern SOCKET_COUNT = Pattern.compile("[0-9]{1,9}");
+    private static final int MIN_SOCKETS = 64;
     private static final int MIN_PEER_KEY_CHARACTERS = 16;
 
     private final String flag;
@@ -109,6 +117,10 @@
         return Pattern.matches("flow-weighted|least-loaded|round-robin", value);
     }
 
+    private static boolean isSocketCount(String value) {
+        return value.isEmpty() || (SOCKET_COUNT.matcher(value).matches() && Integer.parseInt(value) >= MIN_SOCKETS);
+    }
+
     private static boolean isLogLevel(String value) {
         return Pattern.matches("error|warn|info|debug", value);
     }
--- a/siskinlead-daemon/src/main/java/org/siskinlead/daemon/settings/Settings.java
+++ b/siskinlead-daemon/src/main/java/org/siskinlead/daemon/settings/Settings.java
@@ -173,6 +173,15 @@
         return value(Setting.LOG_LEVEL);
     }
 
+    /**
+     * Gets how many sockets the daemon may have open.
+     * @return number of sockets, for callers, daemons, targets and the platform together
+     */
+    public int maxSockets() {
+        String value = value(Setting.MAX_SOCKETS);
+        return value.isEmpty() ? OpenFiles.maxSockets() : Integer.parseInt(value);
+    }
+
     private String value(Setting setting) {
         String value = values.get(setting);
         if (value == null) {
--- a/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/ConnectionEnd.java
+++ b/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/ConnectionEnd.java
@@ -11,6 +11,8 @@
     IDLE_TIMEOUT("no request arrived in time"),
     HEADER_TIMEOUT("the header section did not arrive in time"),
     BODY_TIMEOUT("the body did not arrive in time"),
+    /** It was closed to make room for others, or not admitted since all others were in use. */
+    TOO_MANY_CONNECTIONS("too many connections"),
     /** Of all connections it held most bytes that were not decoded, and all together held too many. */
     UNDECODED_BYTES("too many bytes of further requests"),
     /** More followed a refused request than the server skips to find the next one. */
--- a/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/ConnectionTimeouts.java
+++ b/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/ConnectionTimeouts.java
@@ -1,12 +1,14 @@
 package org.siskinlead.protocol.http;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.Future;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
@@ -18,7 +20,7 @@
 final class ConnectionTimeouts {
     private final Supplier<HttpLimits> limits;
     private final ConnectionCounts counts;
-    private final ServerCounters counters;
+    private final ServerResources resources;
     private @Nullable Future<?> closeTimer;
     private boolean unused;
     private boolean busy;
@@ -31,10 +33,10 @@
     /** Whether a part of a body has arrived with the current read. */
     private boolean contentArrived;
 
-    ConnectionTimeouts(Supplier<HttpLimits> limits, ConnectionCounts counts, ServerCounters counters) {
+    ConnectionTimeouts(Supplier<HttpLimits> limits, ConnectionCounts counts, ServerResources resources) {
         this.limits = limits;
         this.counts = counts;
-        this.counters = counters;
+        this.resources = resources;
     }
 
     /** Tells whether a request has arrived whole and is not yet answered. */
@@ -53,6 +55,7 @@
             public void channelActive(ChannelHandlerContext context) {
                 counts.unused.incrementAndGet();
                 unused = true;
+                closeAll(resources.connections().admit(context.channel()));
                 onIdle(context);
                 context.fireChannelActive();
             }
@@ -63,6 +66,7 @@
                 if (!busy) {
                     busy = true;
                     counts.busy.incrementAndGet();
+                    resources.connections().onNextRequest(context.channel());
                     scheduleClose(context, limits.get().headerMillis(), ConnectionEnd.HEADER_TIMEOUT);
                 }
                 arriving = true;
@@ -76,7 +80,8 @@
             @Override
             public void channelInactive(ChannelHandlerContext context) {
                 cancelTimer();
-                counters.increment(ServerResources.endOf(context.channel()));
+                resources.counters().increment(ServerResources.endOf(context.channel()));
+                resources.connections().remove(context.channel());
                 onUsed();
                 onNotBusy();
                 context.fireChannelInactive();
@@ -95,6 +100,9 @@
                 if (message instanceof LastHttpContent) {
                     cancelTimer();
                     unanswered++;
+                    if (unanswered > 0) {
+                        closeAll(resources.connections().onAnswering(context.channel()));
+                    }
                     arriving = decoder.undecodedBytes() > 0;
                     arrivingBody = false;
                     if (unanswered == 0) {
@@ -104,8 +112,11 @@
                             onIdle(context);
                         }
                     }
-                } else if (message instanceof HttpRequest) {
+                } else if (message instanceof HttpRequest request) {
                     arrivingBody = true;
+                    if (request.decoderResult().isSuccess()) {
+                        resources.connections().onHead(context.channel());
+                    }
                     scheduleArrivalTimeout(context);
                 } else if (message instanceof HttpContent) {
                     contentArrived = true;
@@ -125,10 +136,15 @@
         };
     }
 
-    /** Starts the timeout of the next request, after the response to one. */
-    void onResponded(ChannelHandlerContext context) {
+    /**
+     * Starts the timeout of the next request, after the response to one.
+     * @param wasRefused whether the request was refused for a fault of its own
+     */
+    void onResponded(ChannelHandlerContext context, boolean wasRefused) {
         unanswered--;
+        resources.connections().onAnswered(context.channel(), wasRefused);
         if (arriving) {
+            resources.connections().onNextRequest(context.channel());
             scheduleArrivalTimeout(context);
         } else if (unanswered == 0) {
             onIdle(context);
@@ -152,6 +168,12 @@
         }
     }
 
+    private static void closeAll(List<Channel> excess) {
+        for (Channel connection : excess) {
+            connection.eventLoop().execute(() -> ServerResources.close(connection, ConnectionEnd.TOO_MANY_CONNECTIONS));
+        }
+    }
+
     private void onUsed() {
         if (unused) {
             unused = false;
--- a/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/HttpExchange.java
+++ b/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/HttpExchange.java
@@ -36,6 +36,9 @@
 
     /** {@code Retry-After} in seconds of a request that is refused for lack of memory. */
     private static final String RETRY_AFTER_S = "1";
+
+    private static final int FIRST_CLIENT_ERROR = 400;
+    private static final int FIRST_SERVER_ERROR = 500;
     /** Longest wait, after the last response of a connection, for the peer to close it. */
     private static final long MAX_PEER_CLOSE_WAIT_MS = 1_000;
 
@@ -52,6 +55,7 @@
     private ClosedListener onClosed = end -> {};
     private @Nullable ConnectionEnd closed;
     private boolean closeAfterResponse;
+    private int status;
 
     HttpExchange(Channel channel, ReceivedRequest received, Runnable onResponded) {
         this.channel = channel;
@@ -269,6 +273,15 @@
         finish(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
     }
 
+    /** Tells whether the response says that the request itself is at fault, so that it would be refused again. */
+    boolean isRefused() {
+        return status >= FIRST_CLIENT_ERROR
+                && status < FIRST_SERVER_ERROR
+                && status != HttpResponseStatus.REQUEST_TIMEOUT.code()
+                && status != HttpResponseStatus.MISDIRECTED_REQUEST.code()
+                && status != HttpResponseStatus.TOO_MANY_REQUESTS.code();
+    }
+
     /** Refuses the request if its body was not read; returns whether it did. */
     boolean refuseUnread(ServerCounters counters) {
         ReceivedRequest.Refusal refusal = received.refusal();
@@ -302,6 +315,7 @@
     }
 
     private void setCloseHeader(HttpResponse response) {
+        status = response.status().code();
         if (!keepAlive || closeAfterResponse) {
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
--- a/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/HttpServer.java
+++ b/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/HttpServer.java
@@ -58,7 +58,7 @@
     public static HttpServer start(
             InetSocketAddress address, EventLoopGroup group, HttpLimits limits, ExchangeHandler handler)
             throws InterruptedException {
-        return start(address, group, () -> limits, ServerResources.ofProcess(), handler);
+        return start(address, group, () -> limits, ServerResources.ofHeap(), handler);
     }
 
     /**
@@ -175,7 +175,7 @@
 
         @Override
         protected void initChannel(SocketChannel socket) {
-            ConnectionTimeouts timeouts = new ConnectionTimeouts(limits, counts, resources.counters());
+            ConnectionTimeouts timeouts = new ConnectionTimeouts(limits, counts, resources);
             RequestDecoder decoder = RequestDecoder.of(limits, resources.requests(), timeouts::isAnswering);
             InputGate gate = InputGate.of(decoder, resources.undecoded());
             socket.pipeline()
@@ -220,8 +220,9 @@
         }
 
         private void onResponded(ChannelHandlerContext context) {
+            boolean wasRefused = current != null && current.isRefused();
             current = null;
-            timeouts.onResponded(context);
+            timeouts.onResponded(context, wasRefused);
             gate.onResponded();
         }
 
--- a/siskinlead-protocol/src/test/java/org/siskinlead/protocol/http/ConnectionEndTest.java
+++ b/siskinlead-protocol/src/test/java/org/siskinlead/protocol/http/ConnectionEndTest.java
@@ -23,7 +23,8 @@
     private static final long MAX_WAIT_S = 20;
 
     private final EventLoopGroup network = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final ServerResources resources = ServerResources.of(RequestMemory.ofHeap(), MAX_UNDECODED_BYTES);
+    private final ServerResources resources =
+            ServerResources.of(RequestMemory.ofHeap(), MAX_UNDECODED_BYTES, OpenConnections.of(100));
     private final BlockingQueue<ConnectionEnd> ends = new LinkedBlockingQueue<>();
     private final BlockingQueue<HttpExchange> requests = new LinkedBlockingQueue<>();
     private HttpServer server;
--- a/siskinlead-protocol/src/test/java/org/siskinlead/protocol/http/InputGateTest.java
+++ b/siskinlead-protocol/src/test/java/org/siskinlead/protocol/http/InputGateTest.java
@@ -23,7 +23,7 @@
     private static final int PIPELINED = 2_000;
 
     private final EventLoopGroup network = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final ServerResources resources = ServerResources.ofProcess();
+    private final ServerResources resources = ServerResources.ofHeap();
 
     @AfterEach
     void stop() {
