Responses that peers do not read are bounded for all connections together

What callers saw: 40 clients that asked for an answer of 3.5 MB each and did not read it ended the process (code 3, out of memory). Not known before.

Cause: a complete answer left the account of buffered responses when it was handed to the connection, and stayed in memory until its peer had read it. No timeout applied meanwhile, so a peer could hold it for as long as it kept the connection open.

Change: `UnsentBytes` charges what a connection has not sent to an account of all connections, a sixth of the heap; beyond it the connection with most is closed (`closed.unsent_bytes`). A connection whose peer reads nothing of a response for `idle_timeout_ms` is closed too (`closed.unread_response`). A response that could not be written does not count as sent any more; its request is told why the connection ended.

InputGateTest.closesAConnectionWhosePeerReadsNothing, ConnectionEndTest.closesTheConnectionWithTheLongestUnreadResponse.

--- a/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/ConnectionEnd.java
+++ b/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/ConnectionEnd.java
@@ -11,6 +11,10 @@
     IDLE_TIMEOUT("no request arrived in time"),
     HEADER_TIMEOUT("the header section did not arrive in time"),
     BODY_TIMEOUT("the body did not arrive in time"),
+    /** The peer read nothing of a response for too long. */
+    UNREAD_RESPONSE("the response was not read in time"),
+    /** Of all connections it held most bytes of responses that are not sent, and all together held too many. */
+    UNSENT_BYTES("too many bytes of unread responses"),
     /** It was closed to make room for others, or not admitted since all others were in use. */
     TOO_MANY_CONNECTIONS("too many connections"),
     /** Of all connections it held most bytes that were not decoded, and all together held too many. */
--- a/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/HttpExchange.java
+++ b/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/HttpExchange.java
@@ -325,7 +325,11 @@
         if (keepAlive && !closeAfterResponse) {
             writeFuture.addListener(written -> {
                 received.body().release();
-                onResponded.run();
+                if (written.isSuccess()) {
+                    onResponded.run();
+                } else {
+                    ServerResources.close(channel, ConnectionEnd.FAILURE);
+                }
             });
         } else {
             writeFuture.addListener(written -> {
--- a/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/HttpServer.java
+++ b/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/HttpServer.java
@@ -179,6 +179,7 @@
             RequestDecoder decoder = RequestDecoder.of(limits, resources.requests(), timeouts::isAnswering);
             InputGate gate = InputGate.of(decoder, resources.undecoded());
             socket.pipeline()
+                    .addLast(UnsentBytes.of(limits, resources))
                     .addLast(timeouts.beforeCodec())
                     .addLast(gate)
                     .addLast(decoder)
--- a/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/ServerResources.java
+++ b/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/ServerResources.java
@@ -9,6 +9,8 @@
 
     /** Part of the heap that may be held, in buffers outside of it, as bytes that have arrived and are not decoded. */
     private static final int UNDECODED_DIVISOR = 8;
+    /** Part of the heap that may be held as responses that peers have not read. */
+    private static final int UNSENT_DIVISOR = 6;
     /** Part of the heap that open connections may use, apart from their requests and responses. */
     private static final int CONNECTIONS_DIVISOR = 4;
     /** Heap bytes of a connection with its handlers, timer and place in {@link OpenConnections}. */
@@ -25,13 +27,19 @@
 
     private final RequestMemory requests;
     private final ConnectionBytes undecoded;
+    private final ConnectionBytes unsent;
     private final OpenConnections connections;
     private final ServerCounters counters;
 
     private ServerResources(
-            RequestMemory requests, ConnectionBytes undecoded, OpenConnections connections, ServerCounters counters) {
+            RequestMemory requests,
+            ConnectionBytes undecoded,
+            ConnectionBytes unsent,
+            OpenConnections connections,
+            ServerCounters counters) {
         this.requests = requests;
         this.undecoded = undecoded;
+        this.unsent = unsent;
         this.connections = connections;
         this.counters = counters;
     }
@@ -54,14 +62,19 @@
         int callerSockets =
                 Math.max(MIN_CALLER_SOCKETS, sockets - Math.max(MIN_OWN_SOCKETS, sockets / OWN_SOCKETS_DIVISOR));
         long heapSockets = heapBytes / CONNECTIONS_DIVISOR / CONNECTION_HEAP_BYTES;
-        return of(RequestMemory.ofHeap(), heapBytes / UNDECODED_DIVISOR, OpenConnections.of((int)
-                Math.min(callerSockets, heapSockets)));
+        return of(
+                RequestMemory.ofHeap(),
+                heapBytes / UNDECODED_DIVISOR,
+                heapBytes / UNSENT_DIVISOR,
+                OpenConnections.of((int) Math.min(callerSockets, heapSockets)));
     }
 
-    static ServerResources of(RequestMemory requests, long undecodedBytes, OpenConnections connections) {
+    static ServerResources of(
+            RequestMemory requests, long undecodedBytes, long unsentBytes, OpenConnections connections) {
         return new ServerResources(
                 requests,
                 ConnectionBytes.of(undecodedBytes, connection -> close(connection, ConnectionEnd.UNDECODED_BYTES)),
+                ConnectionBytes.of(unsentBytes, connection -> close(connection, ConnectionEnd.UNSENT_BYTES)),
                 connections,
                 ServerCounters.create());
     }
@@ -72,7 +85,7 @@
      */
     public ServerResources forOperators() {
         RequestMemory memory = RequestMemory.of(Runtime.getRuntime().maxMemory() / OPERATOR_REQUESTS_DIVISOR);
-        return new ServerResources(memory, undecoded, OpenConnections.of(OPERATOR_SOCKETS), counters);
+        return new ServerResources(memory, undecoded, unsent, OpenConnections.of(OPERATOR_SOCKETS), counters);
     }
 
     // Queries
@@ -106,6 +119,11 @@
         return undecoded;
     }
 
+    /** Gets the account of responses that peers have not read. */
+    ConnectionBytes unsent() {
+        return unsent;
+    }
+
     /** Gets why a connection was closed; {@link ConnectionEnd#PEER} unless the server closed it. */
     static ConnectionEnd endOf(Channel connection) {
         ConnectionEnd end = connection.hasAttr(END) ? connection.attr(END).get() : null;
--- a/siskinlead-protocol/src/test/java/org/siskinlead/protocol/http/ConnectionEndTest.java
+++ b/siskinlead-protocol/src/test/java/org/siskinlead/protocol/http/ConnectionEndTest.java
@@ -9,6 +9,7 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Map;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -20,11 +21,12 @@
 class ConnectionEndTest {
     private static final HttpLimits LIMITS = new HttpLimits(1_000, 2_000, 5_000, 300);
     private static final long MAX_UNDECODED_BYTES = 100;
+    private static final long MAX_UNSENT_BYTES = 1_000_000;
     private static final long MAX_WAIT_S = 20;
 
     private final EventLoopGroup network = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final ServerResources resources =
-            ServerResources.of(RequestMemory.ofHeap(), MAX_UNDECODED_BYTES, OpenConnections.of(100));
+            ServerResources.of(RequestMemory.ofHeap(), MAX_UNDECODED_BYTES, MAX_UNSENT_BYTES, OpenConnections.of(100));
     private final BlockingQueue<ConnectionEnd> ends = new LinkedBlockingQueue<>();
     private final BlockingQueue<HttpExchange> requests = new LinkedBlockingQueue<>();
     private HttpServer server;
@@ -66,6 +68,20 @@
         assertThat(resources.counters().limitCounts()).containsExactly("closed.undecoded_bytes", 1L);
     }
 
+    // Guards against responses that many peers do not read, each within the limit of one, and that use up the memory
+    // together.
+    @Test
+    void closesTheConnectionWithTheLongestUnreadResponse() throws Exception {
+        try (Socket socket = connect("GET / HTTP/1.1\r\nHost: h\r\n\r\n")) {
+            HttpExchange exchange = requests.poll(MAX_WAIT_S, TimeUnit.SECONDS);
+            assertThat(exchange).isNotNull();
+            exchange.respond(200, "text/plain", new byte[20_000_000], Map.of());
+
+            assertThat(ends.poll(MAX_WAIT_S, TimeUnit.SECONDS)).isEqualTo(ConnectionEnd.UNSENT_BYTES);
+            assertThat(socket.isConnected()).isTrue();
+        }
+    }
+
     // Guards against timeouts that leave no trace.
     @Test
     void countsAHeaderSectionThatDoesNotArriveInTime() throws Exception {
--- a/siskinlead-protocol/src/test/java/org/siskinlead/protocol/http/InputGateTest.java
+++ b/siskinlead-protocol/src/test/java/org/siskinlead/protocol/http/InputGateTest.java
@@ -16,7 +16,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
-/** Tests a server whose peers send more than it holds for them. */
+/** Tests a server whose peers send more, or read less, than it holds for them. */
 class InputGateTest {
     private static final int READ_TIMEOUT_MS = 15_000;
     private static final long MAX_WAIT_NANOS = 30_000_000_000L;
@@ -86,6 +86,43 @@
         }
     }
 
+    // Guards against taking chunks that another thread has only handed over for ones that the peer does not read.
+    @Test
+    void keepsAConnectionWhoseStreamIsWrittenFasterThanItIsSent() throws Exception {
+        HttpServer server = start(
+                60_000,
+                exchange -> new Thread(() -> {
+                            exchange.startStream("text/plain", Map.of());
+                            for (int i = 0; i < PIPELINED; i++) {
+                                exchange.writeChunk(new byte[] {'x'});
+                            }
+                            exchange.writeChunk(new byte[] {']'});
+                            exchange.endStream();
+                        })
+                        .start());
+        try (Socket socket = connect(server)) {
+            send(socket, "GET /1 HTTP/1.1\r\n\r\n");
+
+            assertThat(readUntil(socket, "]")).endsWith("]");
+            assertThat(resources.counters().limitCounts()).isEmpty();
+        }
+    }
+
+    // Guards against responses that no peer reads and that are held for ever.
+    @Test
+    void closesAConnectionWhosePeerReadsNothing() throws Exception {
+        HttpServer server = start(500, exchange -> respond(exchange, "x".repeat(8_000_000)));
+        try (Socket socket = connect(server)) {
+            send(socket, "GET /1 HTTP/1.1\r\n\r\n");
+            long deadlineNanos = System.nanoTime() + MAX_WAIT_NANOS;
+            while (resources.counters().limitCounts().isEmpty() && System.nanoTime() < deadlineNanos) {
+                Thread.onSpinWait();
+            }
+
+            assertThat(resources.counters().limitCounts()).containsExactly("closed.unread_response", 1L);
+        }
+    }
+
     private HttpServer start(long idleMillis, ExchangeHandler handler) throws Exception {
         HttpLimits limits = new HttpLimits(1_000, 2_000, idleMillis, 60_000);
         return HttpServer.start(new InetSocketAddress("127.0.0.1", 0), network, () -> limits, resources, handler);
