Peer listener: bound what peers may use before they have sent the key

Cause: the listener accepted any number of connections, buffered the frame that each announced, up to 2 MB, and decoded a frame, whose objects can take many times its bytes, before it looked at the key. Each invalid frame wrote a log line.

Change: connections without a valid first frame are 512 at most, and at most a quarter of the sockets; the oldest makes room. A fleet of 370 daemons that all connect at once stays below. Their incomplete frames have 8 MB together. The key, the first field of a frame, is read before the rest is decoded. At most 5 lines a second are written on refused connections; `peer.refused` counts all. Connections of known daemons are not limited.

--- a/siskinlead-daemon/src/main/java/org/siskinlead/daemon/Daemon.java
+++ b/siskinlead-daemon/src/main/java/org/siskinlead/daemon/Daemon.java
@@ -67,7 +67,8 @@
         HttpClient http = HttpClient.of(eventLoopGroup, CONNECT_TIMEOUT_MS);
         HybridClock clock = HybridClock.of(loop::wallMillis);
         Timeline timeline = Timeline.of(settings.vm(), clock, EventLog::write);
-        peers = PeerLinks.of(eventLoopGroup, loop, clock, settings.peerAddress(), settings.peerKey());
+        peers = PeerLinks.of(
+                eventLoopGroup, loop, clock, settings.peerAddress(), settings.peerKey(), settings.maxSockets());
         platform = PlatformClient.of(http, settings.platform(), loop);
         targets = TargetClient.of(http, loop);
         Ports ports = new Ports(loop, platform, peers, targets, targets, ids);
@@ -150,6 +151,7 @@
         registerGauge(metrics, "platform.writes", platform::writeCount);
         registerGauge(metrics, "peer.messages_sent", peers::messagesSent);
         registerGauge(metrics, "peer.bytes_sent", peers::bytesSent);
+        registerGauge(metrics, "peer.refused", peers::refusedCount);
         registerGauge(
                 metrics,
                 "heap.used_bytes",
--- a/siskinlead-daemon/src/main/java/org/siskinlead/daemon/peer/PeerLinks.java
+++ b/siskinlead-daemon/src/main/java/org/siskinlead/daemon/peer/PeerLinks.java
@@ -4,9 +4,12 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ConnectTimeoutException;
@@ -15,6 +18,7 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
 import java.net.ConnectException;
@@ -25,6 +29,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -32,8 +37,11 @@
 import org.siskinlead.core.peer.PeerMessage;
 import org.siskinlead.core.peer.Peers;
 import org.siskinlead.core.timeline.HybridClock;
+import org.siskinlead.daemon.LineRate;
 import org.siskinlead.daemon.loop.DecisionLoop;
 import org.siskinlead.protocol.http.Addresses;
+import org.siskinlead.protocol.http.ConnectionBytes;
+import org.siskinlead.protocol.http.OpenConnections;
 import org.siskinlead.protocol.json.ProtocolException;
 import org.siskinlead.protocol.peer.PeerCodec;
 import org.siskinlead.protocol.peer.PeerFrame;
@@ -48,6 +56,19 @@
     private static final int CONNECT_TIMEOUT_MS = 500;
     private static final int MAX_PENDING_MESSAGES = 512;
     private static final long RECONNECT_DELAY_MS = 100;
+    /** Connections whose peer has not sent the peer key yet: more than a fleet has daemons, which may all connect at once. */
+    private static final int MAX_UNKNOWN_CONNECTIONS = 512;
+    /** Part of the sockets of the process that such connections may use. */
+    private static final int UNKNOWN_SOCKETS_DIVISOR = 4;
+
+    private static final int RECEIVE_BUFFER_BYTES = 65_536;
+    private static final int MIN_READ_BYTES = 256;
+    private static final int INITIAL_READ_BYTES = 2_048;
+    private static final int MAX_READ_BYTES = 16_384;
+    /** Bytes of incomplete frames of all connections; some frames of the largest size, at twice their size in buffers. */
+    private static final long MAX_INCOMPLETE_BYTES = 4L * PeerCodec.MAX_FRAME_BYTES;
+    /** Lines on refused connections in any second; others are only counted. */
+    private static final int MAX_LOG_LINES_PER_SECOND = 5;
 
     private final EventLoopGroup eventLoopGroup;
     private final DecisionLoop loop;
@@ -57,16 +78,26 @@
     private final Map<String, Link> links = new HashMap<>();
     private Consumer<PeerMessage> onMessage = m -> {};
     private Consumer<String> onConnectionRefused = a -> {};
+    private final OpenConnections unknown;
+    private final ConnectionBytes incomplete = ConnectionBytes.of(MAX_INCOMPLETE_BYTES, this::closeRefused);
+    private final AtomicLong refused = new AtomicLong();
+    private final LineRate refusalLines = LineRate.perSecond(MAX_LOG_LINES_PER_SECOND);
     private long bytesSent;
     private long messagesSent;
 
     private PeerLinks(
-            EventLoopGroup eventLoopGroup, DecisionLoop loop, HybridClock clock, String selfAddress, String peerKey) {
+            EventLoopGroup eventLoopGroup,
+            DecisionLoop loop,
+            HybridClock clock,
+            String selfAddress,
+            String peerKey,
+            int maxSockets) {
         this.eventLoopGroup = eventLoopGroup;
         this.loop = loop;
         this.clock = clock;
         this.selfAddress = selfAddress;
         this.peerKey = peerKey;
+        this.unknown = OpenConnections.of(Math.min(MAX_UNKNOWN_CONNECTIONS, maxSockets / UNKNOWN_SOCKETS_DIVISOR));
     }
 
     /**
@@ -76,11 +107,17 @@
      * @param clock clock whose time is sent with each message and advanced by received ones
      * @param selfAddress peer address of this daemon
      * @param peerKey key shared by all daemons, sent in each frame and required in received ones
+     * @param maxSockets sockets that the process may have open
      * @return the links
      */
     public static PeerLinks of(
-            EventLoopGroup eventLoopGroup, DecisionLoop loop, HybridClock clock, String selfAddress, String peerKey) {
-        return new PeerLinks(eventLoopGroup, loop, clock, selfAddress, peerKey);
+            EventLoopGroup eventLoopGroup,
+            DecisionLoop loop,
+            HybridClock clock,
+            String selfAddress,
+            String peerKey,
+            int maxSockets) {
+        return new PeerLinks(eventLoopGroup, loop, clock, selfAddress, peerKey, maxSockets);
     }
 
     /**
@@ -98,8 +135,13 @@
                 .group(eventLoopGroup)
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
+                .option(ChannelOption.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
                 .childOption(ChannelOption.TCP_NODELAY, true)
-                .childHandler(framePipeline(new FrameHandler()))
+                .childOption(
+                        ChannelOption.RECVBUF_ALLOCATOR,
+                        new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES)
+                                .maxMessagesPerRead(1))
+                .childHandler(framePipeline(new UnknownPeerGuard()))
                 .bind(Addresses.parse(selfAddress))
                 .sync()
                 .channel();
@@ -121,6 +163,14 @@
         return bytesSent;
     }
 
+    /**
+     * Counts the connections that were closed because of an invalid frame or a wrong key, or to admit others.
+     * @return connections since the start
+     */
+    public long refusedCount() {
+        return refused.get();
+    }
+
     @Override
     public void send(String address, PeerMessage message) {
         if (address.equals(selfAddress)) {
@@ -133,38 +183,81 @@
         links.computeIfAbsent(address, Link::new).send(bytes);
     }
 
-    private ChannelInitializer<SocketChannel> framePipeline(SimpleChannelInboundHandler<ByteBuf> handler) {
+    private ChannelInitializer<SocketChannel> framePipeline(ChannelHandler first) {
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(SocketChannel socket) {
                 socket.pipeline()
+                        .addLast(first)
                         .addLast(new LengthFieldBasedFrameDecoder(
                                 PeerCodec.MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
                         .addLast(new LengthFieldPrepender(LENGTH_BYTES))
-                        .addLast(handler);
+                        .addLast(new FrameHandler());
             }
         };
     }
 
-    private boolean hasPeerKey(PeerFrame frame) {
-        return MessageDigest.isEqual(
-                frame.key().getBytes(StandardCharsets.UTF_8), peerKey.getBytes(StandardCharsets.UTF_8));
+    private boolean isPeerKey(String key) {
+        return MessageDigest.isEqual(key.getBytes(StandardCharsets.UTF_8), peerKey.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private void refuse(ChannelHandlerContext context, String reason) {
+        refused.incrementAndGet();
+        if (refusalLines.tryAcquire()) {
+            LOG.warn("closing peer connection from {}: {}", context.channel().remoteAddress(), reason);
+        }
+        context.close();
+    }
+
+    private void closeRefused(Channel connection) {
+        refused.incrementAndGet();
+        connection.close();
+    }
+
+    /** Bounds the connections, and their bytes, of peers that have not proven yet that they are daemons. */
+    @ChannelHandler.Sharable
+    private final class UnknownPeerGuard extends ChannelInboundHandlerAdapter {
+        @Override
+        public void channelActive(ChannelHandlerContext context) {
+            for (Channel excess : unknown.admit(context.channel())) {
+                excess.eventLoop().execute(() -> closeRefused(excess));
+            }
+            context.fireChannelActive();
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            if (message instanceof ByteBuf bytes) {
+                incomplete.add(context.channel(), bytes.readableBytes());
+            }
+            context.fireChannelRead(message);
+        }
+
+        /** Runs when the connection is closed, or when its first frame has shown that the peer is a daemon. */
+        @Override
+        public void handlerRemoved(ChannelHandlerContext context) {
+            unknown.remove(context.channel());
+            incomplete.release(context.channel());
+        }
     }
 
-    @io.netty.channel.ChannelHandler.Sharable
     private final class FrameHandler extends SimpleChannelInboundHandler<ByteBuf> {
         @Override
         protected void channelRead0(ChannelHandlerContext context, ByteBuf bytes) {
+            if (!context.channel().isActive()) {
+                return;
+            }
             byte[] frameBytes = new byte[bytes.readableBytes()];
             bytes.readBytes(frameBytes);
-            PeerFrame frame = PeerCodec.decode(frameBytes);
-            if (!hasPeerKey(frame)) {
-                LOG.warn(
-                        "closing peer connection from {}: wrong peer key",
-                        context.channel().remoteAddress());
-                context.close();
+            // Only a daemon may have its frame decoded: its objects can take many times its bytes.
+            if (!isPeerKey(PeerCodec.readKey(frameBytes))) {
+                refuse(context, "wrong peer key");
                 return;
             }
+            PeerFrame frame = PeerCodec.decode(frameBytes);
+            if (context.pipeline().get(UnknownPeerGuard.class) != null) {
+                context.pipeline().remove(UnknownPeerGuard.class);
+            }
             loop.publish(() -> {
                 clock.observe(frame.time());
                 onMessage.accept(frame.message());
@@ -173,12 +266,11 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            if (cause instanceof ProtocolException || cause instanceof io.netty.handler.codec.DecoderException) {
-                LOG.warn(
-                        "closing peer connection from {}: invalid frame",
-                        context.channel().remoteAddress());
+            if (cause instanceof ProtocolException || cause instanceof DecoderException) {
+                refuse(context, "invalid frame");
+            } else {
+                context.close();
             }
-            context.close();
         }
     }
 
@@ -218,7 +310,7 @@
                     .channel(NioSocketChannel.class)
                     .option(ChannelOption.TCP_NODELAY, true)
                     .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
-                    .handler(framePipeline(new FrameHandler()))
+                    .handler(framePipeline(new ChannelInboundHandlerAdapter()))
                     .connect(remote)
                     .addListener(done -> loop.publish(() -> onConnected((ChannelFuture) done)));
         }
--- a/siskinlead-protocol/src/main/java/org/siskinlead/protocol/peer/PeerCodec.java
+++ b/siskinlead-protocol/src/main/java/org/siskinlead/protocol/peer/PeerCodec.java
@@ -1,11 +1,14 @@
 package org.siskinlead.protocol.peer;
 
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.jsontype.NamedType;
 import java.io.IOException;
+import org.jspecify.annotations.Nullable;
 import org.msgpack.core.MessagePackException;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
 import org.siskinlead.core.peer.PeerMessage;
@@ -53,11 +56,35 @@
             }
             return frame;
         } catch (IOException | MessagePackException e) {
-            throw ProtocolException.of(
-                    ProtocolException.Code.MALFORMED, "cannot decode peer frame of " + bytes.length + " bytes", e);
+            throw malformed(bytes, e);
         }
     }
 
+    /**
+     * Reads the key of a frame without decoding its message; it is the first field.
+     * @param bytes bytes without the length prefix
+     * @return the key
+     * @throws ProtocolException if the bytes do not begin as a frame does
+     */
+    public static String readKey(byte[] bytes) {
+        try (JsonParser parser = MAPPER.createParser(bytes)) {
+            if (parser.nextToken() == JsonToken.START_OBJECT && "key".equals(parser.nextFieldName())) {
+                String key = parser.nextTextValue();
+                if (key != null) {
+                    return key;
+                }
+            }
+        } catch (IOException | MessagePackException e) {
+            throw malformed(bytes, e);
+        }
+        throw malformed(bytes, null);
+    }
+
+    private static ProtocolException malformed(byte[] bytes, @Nullable Exception cause) {
+        return ProtocolException.of(
+                ProtocolException.Code.MALFORMED, "cannot decode peer frame of " + bytes.length + " bytes", cause);
+    }
+
     private static ObjectMapper createMapper() {
         ObjectMapper mapper = new ObjectMapper(new MessagePackFactory());
         mapper.disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
--- a/siskinlead-protocol/src/test/java/org/siskinlead/protocol/peer/PeerCodecTest.java
+++ b/siskinlead-protocol/src/test/java/org/siskinlead/protocol/peer/PeerCodecTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -30,6 +31,26 @@
         assertThat(PeerCodec.decode(PeerCodec.encode(frame))).isEqualTo(frame);
     }
 
+    // Guards against a key that can be read only by decoding the whole message, which costs many times its bytes.
+    @ParameterizedTest
+    @MethodSource("messages")
+    void readsTheKeyWithoutTheMessage(PeerMessage message) {
+        byte[] encoded = PeerCodec.encode(new PeerFrame("a key of daemons", new HybridTime(1, 0), message));
+
+        assertThat(PeerCodec.readKey(Arrays.copyOf(encoded, 30))).isEqualTo("a key of daemons");
+    }
+
+    @Test
+    void readsNoKeyFromBytesThatDoNotBeginAsAFrameDoes() {
+        Random random = new Random(2);
+        for (int i = 0; i < 10_000; i++) {
+            byte[] randomBytes = new byte[random.nextInt(200)];
+            random.nextBytes(randomBytes);
+
+            assertThrows(ProtocolException.class, () -> PeerCodec.readKey(randomBytes));
+        }
+    }
+
     @Test
     void throwsProtocolExceptionOnRandomBytes() {
         Random random = new Random(1);
@@ -46,7 +67,7 @@
         PeerMessage message = messages().get(0);
         byte[] encoded = PeerCodec.encode(new PeerFrame("key", new HybridTime(1, 0), message));
         for (int length = 0; length < encoded.length; length++) {
-            byte[] truncated = java.util.Arrays.copyOf(encoded, length);
+            byte[] truncated = Arrays.copyOf(encoded, length);
 
             assertThrows(ProtocolException.class, () -> PeerCodec.decode(truncated));
         }
