Timeline: bound the characters that it keeps and logs

What callers saw: 40 clients with request ids of 15,000 characters and a key that nobody holds ended the process a few seconds later. Not known before.

Cause: the timeline keeps the last 8,192 events, with the id and the path of each request at any length. 4,000 refused requests with long ids are 60 MB.

Change: the events kept have 4,194,304 characters together, more than 8,192 ordinary ones; beyond that the oldest are dropped, and counted as before. A value is cut after 4,096 characters, so that a log line does not grow with what a caller sends.

--- a/siskinlead-core/src/main/java/org/siskinlead/core/timeline/Timeline.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/timeline/Timeline.java
@@ -13,11 +13,16 @@
 public final class Timeline {
     /** Number of events kept; the oldest is dropped beyond it. */
     public static final int CAPACITY_EVENTS = 8_192;
+    /** Characters of all events kept, some of which callers choose, such as request ids and paths. */
+    static final int CAPACITY_CHARACTERS = 4_194_304;
+    /** Longest value of a field; the rest is cut off. */
+    static final int MAX_VALUE_CHARACTERS = 4_096;
 
     private final String process;
     private final HybridClock clock;
     private final Consumer<TimelineEvent> listener;
     private final Deque<TimelineEvent> events = new ArrayDeque<>();
+    private long characters;
     private long dropped;
 
     private Timeline(String process, HybridClock clock, Consumer<TimelineEvent> listener) {
@@ -45,14 +50,15 @@
     public void record(EventKind kind, Object... keysAndValues) {
         Map<String, String> fields = new LinkedHashMap<>();
         for (int i = 0; i + 1 < keysAndValues.length; i += 2) {
-            fields.put(String.valueOf(keysAndValues[i]), String.valueOf(keysAndValues[i + 1]));
+            fields.put(String.valueOf(keysAndValues[i]), cut(String.valueOf(keysAndValues[i + 1])));
         }
         TimelineEvent event = new TimelineEvent(clock.tick(), process, kind, fields);
-        if (events.size() == CAPACITY_EVENTS) {
-            events.removeFirst();
+        events.addLast(event);
+        characters += charactersOf(event);
+        while (events.size() > CAPACITY_EVENTS || characters > CAPACITY_CHARACTERS) {
+            characters -= charactersOf(events.removeFirst());
             dropped++;
         }
-        events.addLast(event);
         listener.accept(event);
     }
 
@@ -78,4 +84,16 @@
     public long dropped() {
         return dropped;
     }
+
+    private static String cut(String value) {
+        return value.length() <= MAX_VALUE_CHARACTERS ? value : value.substring(0, MAX_VALUE_CHARACTERS) + "...";
+    }
+
+    private static long charactersOf(TimelineEvent event) {
+        long count = 0;
+        for (String value : event.fields().values()) {
+            count += value.length();
+        }
+        return count;
+    }
 }
