Query parameters are not kept with a request, and long request targets are charged

What callers saw: some hundred waiting requests with 1,600 query parameters in a request line of legal size ended the process (code 3). Not known before.

Cause: the server decoded the query of each request into a map and kept it until the response: 116 kB for 1,024 of them, 6.4 kB on the wire. Nothing counted it, and the platform form, which forwards the query as it is, never reads it. The request target itself, of which three copies are held, was not counted either.

Change: the query is decoded when a parameter is asked for, and not kept. A request target of more than some hundred characters is charged to `RequestMemory`.

UntrustedInputTest.chargesLongRequestTargets.

--- a/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/HttpExchange.java
+++ b/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/HttpExchange.java
@@ -47,7 +47,6 @@
     private final String method;
     private final String uri;
     private final String path;
-    private final Map<String, List<String>> query;
     private final Map<String, String> headers;
     private final ReceivedRequest received;
     private final List<HeaderField> headerFields = new ArrayList<>();
@@ -64,9 +63,7 @@
         HttpRequest request = received.head();
         this.method = request.method().name();
         this.uri = request.uri();
-        QueryStringDecoder decoded = new QueryStringDecoder(request.uri());
-        this.path = decoded.path();
-        this.query = decoded.parameters();
+        this.path = new QueryStringDecoder(uri).path();
         this.headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
         request.headers().forEach(h -> {
             headers.put(h.getKey(), h.getValue());
@@ -116,7 +113,8 @@
      * @return its first value, decoded
      */
     public String query(String name, String defaultValue) {
-        List<String> values = query.get(name);
+        // Decoded parameters take many times their bytes, so they are not kept.
+        List<String> values = new QueryStringDecoder(uri).parameters().get(name);
         return values == null || values.isEmpty() ? defaultValue : values.get(0);
     }
 
--- a/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/RequestAssembler.java
+++ b/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/RequestAssembler.java
@@ -24,6 +24,11 @@
  * skipped.
  */
 final class RequestAssembler extends SimpleChannelInboundHandler<HttpObject> {
+    /** Copies of the request target that are held until the response: as received, its path, and as it is forwarded. */
+    private static final int TARGET_COPIES = 3;
+    /** Bytes of request targets that are not counted, since they are few beside the least reservation for a header section. */
+    private static final int SHORT_TARGET_BYTES = 1_024;
+
     /** First reservation for a body of unknown length; it doubles from then on. */
     private static final int INITIAL_BYTES = 1_024;
 
@@ -72,6 +77,11 @@
             refuse(context, Refusal.of(request.decoderResult().cause()));
             return;
         }
+        long targetBytes = (long) TARGET_COPIES * request.uri().length();
+        if (targetBytes > SHORT_TARGET_BYTES && !reservation.tryReserve(targetBytes, targetBytes)) {
+            refuse(context, Refusal.NO_MEMORY);
+            return;
+        }
         long declaredLength = HttpUtil.getContentLength(request, -1L);
         if (declaredLength > maxBodyBytes) {
             refuse(context, Refusal.BODY_TOO_LARGE);
--- a/siskinlead-protocol/src/test/java/org/siskinlead/protocol/http/UntrustedInputTest.java
+++ b/siskinlead-protocol/src/test/java/org/siskinlead/protocol/http/UntrustedInputTest.java
@@ -50,6 +50,20 @@
         assertThat(memory.usedBytes()).isEqualTo(0);
     }
 
+    // Guards against long request targets, of which several copies are held, that nothing counts.
+    @Test
+    void chargesLongRequestTargets() {
+        EmbeddedChannel connection = connect(decoder());
+        send(connection, "GET /" + "x".repeat(8_000) + " HTTP/1.1\r\n\r\n");
+        ReceivedRequest request = connection.readInbound();
+
+        assertThat(memory.usedBytes()).isAtLeast(3 * 8_000L);
+
+        request.body().release();
+
+        assertThat(memory.usedBytes()).isEqualTo(0);
+    }
+
     // Guards against header sections that use up the memory together, each within its limit.
     @Test
     void refusesAHeaderSectionThatDoesNotFitBesideOthersAsNotRun() {
