siskinleadctl: bound the length and the time of an answer

What callers saw: the command line hung, or grew without a bound, before an entry whose answer does not end.

Cause: the JDK's timeout of a request ends with the header section of its response, and its body handlers take a body of any length.

Change: a body has 16 MB at most (`LimitedBody`), and an exchange ten seconds from the request to the last byte.

Evidence: DaemonClientTest, 3 of 5 failed before: an answer of 40 MB was taken, two without end were awaited until the test gave up after 60 s.

--- a/siskinlead-cli/src/main/java/org/siskinlead/cli/DaemonClient.java
+++ b/siskinlead-cli/src/main/java/org/siskinlead/cli/DaemonClient.java
@@ -7,23 +7,33 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpRequest.BodyPublishers;
 import java.net.http.HttpResponse;
-import java.net.http.HttpResponse.BodyHandlers;
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 
 /** HTTP client that tries the daemons in order and uses the first that responds. */
 final class DaemonClient {
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
     private static final Duration CALL_TIMEOUT = Duration.ofSeconds(10);
+    private static final long MAX_RESPONSE_BYTES = 16_777_216;
 
     private final HttpClient http =
             HttpClient.newBuilder().connectTimeout(CONNECT_TIMEOUT).build();
     private final List<String> entryAddresses;
     private final String token;
+    private final Duration callTimeout;
 
     DaemonClient(List<String> entryAddresses, String token) {
+        this(entryAddresses, token, CALL_TIMEOUT);
+    }
+
+    DaemonClient(List<String> entryAddresses, String token, Duration callTimeout) {
         this.entryAddresses = entryAddresses;
         this.token = token;
+        this.callTimeout = callTimeout;
     }
 
     record Response(int status, String body) {}
@@ -73,15 +83,28 @@
 
     private HttpRequest.Builder requestBuilder(String entryAddress, String path) {
         return HttpRequest.newBuilder(URI.create("http://" + entryAddress + path))
-                .timeout(CALL_TIMEOUT)
+                .timeout(callTimeout)
                 .header("Authorization", "Bearer " + token);
     }
 
     private Response send(HttpRequest request) throws IOException {
+        // The timeout of a request ends with the header section of its response, so the whole exchange has one of its
+        // own.
+        CompletableFuture<HttpResponse<String>> exchange =
+                http.sendAsync(request, LimitedBody.ofBytes(MAX_RESPONSE_BYTES));
         try {
-            HttpResponse<String> response = http.send(request, BodyHandlers.ofString());
+            HttpResponse<String> response = exchange.get(callTimeout.toMillis(), TimeUnit.MILLISECONDS);
             return new Response(response.statusCode(), response.body());
+        } catch (ExecutionException e) {
+            if (e.getCause() instanceof IOException failure) {
+                throw failure;
+            }
+            throw new IOException("the exchange failed", e);
+        } catch (TimeoutException e) {
+            exchange.cancel(true);
+            throw new IOException("no complete response within " + callTimeout.toMillis() + " ms", e);
         } catch (InterruptedException e) {
+            exchange.cancel(true);
             Thread.currentThread().interrupt();
             throw new IOException("interrupted while waiting for a response", e);
         }
