No timeout starts for a connection that has ended

What callers saw: clients that open connections thousands of times a second and never finish a header section ended the process (out of memory), and with it sound callers.

Cause: when a connection ends within a header section, the codec passes on what it has as a malformed request, and the handler behind it started the timeout of a body, after all timeouts of the connection had been cancelled. Each kept its connection in memory for up to 15 s. 27,000 scheduled tasks for 1,139 connections were found in the heap.

Evidence: UntrustedInputTest.leavesNoTimeoutBehindWhenAConnectionEndsWithinAHeaderSection fails before (30 s left).

--- a/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/ConnectionTimeouts.java
+++ b/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/ConnectionTimeouts.java
@@ -32,6 +32,8 @@
     private boolean arrivingBody;
     /** Whether a part of a body has arrived with the current read. */
     private boolean contentArrived;
+    /** Whether the connection has ended; the codec may still pass on a part of a request. */
+    private boolean ended;
 
     ConnectionTimeouts(Supplier<HttpLimits> limits, ConnectionCounts counts, ServerResources resources) {
         this.limits = limits;
@@ -79,6 +81,7 @@
 
             @Override
             public void channelInactive(ChannelHandlerContext context) {
+                ended = true;
                 cancelTimer();
                 resources.counters().increment(ServerResources.endOf(context.channel()));
                 resources.connections().remove(context.channel());
@@ -190,6 +193,9 @@
 
     private void scheduleClose(ChannelHandlerContext context, long millis, ConnectionEnd end) {
         cancelTimer();
+        if (ended) {
+            return;
+        }
         closeTimer = context.executor()
                 .schedule(() -> ServerResources.close(context.channel(), end), millis, TimeUnit.MILLISECONDS);
     }
--- a/siskinlead-protocol/src/test/java/org/siskinlead/protocol/http/UntrustedInputTest.java
+++ b/siskinlead-protocol/src/test/java/org/siskinlead/protocol/http/UntrustedInputTest.java
@@ -155,6 +155,25 @@
         assertThat(reads.guess()).isGreaterThan(FairReads.MIN_READ_BYTES);
     }
 
+    // Guards against a timeout that starts when a connection has ended, and that keeps all of the connection until it
+    // fires.
+    @Test
+    void leavesNoTimeoutBehindWhenAConnectionEndsWithinAHeaderSection() {
+        ConnectionTimeouts timeouts =
+                new ConnectionTimeouts(() -> LIMITS, new ConnectionCounts(), ServerResources.ofHeap());
+        RequestDecoder decoder = decoder();
+        EmbeddedChannel connection = new EmbeddedChannel(
+                timeouts.beforeCodec(),
+                decoder,
+                timeouts.afterCodec(decoder),
+                new RequestAssembler(() -> LIMITS, memory));
+        send(connection, "GET /x HTTP/1.1\r\nHost: h\r\n");
+        // Closing an embedded channel would cancel its timers.
+        connection.pipeline().fireChannelInactive();
+
+        assertThat(connection.runScheduledPendingTasks()).isEqualTo(-1);
+    }
+
     private RequestDecoder decoder() {
         return RequestDecoder.of(() -> LIMITS, memory, () -> answering);
     }
