Connections with an unfinished header section make room before new ones

What callers saw: callers that had just connected could be pushed out, before their request arrived, by clients that open connections some 10,000 times a second and leave a header section unfinished.

Cause: both counted as connections without a whole header section, of which the oldest went first.

Change: connections whose first header section has begun go first, then those whose last request was refused, then those on which nothing has arrived yet.

Evidence: OpenConnectionsTest.closesConnectionsWithAnUnfinishedHeaderSectionBeforeSilentOnes fails before. No process was seen to fail for this alone.

--- a/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/OpenConnections.java
+++ b/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/OpenConnections.java
@@ -17,10 +17,12 @@
 public final class OpenConnections {
     /** States of a connection, in the order in which connections are closed to make room. */
     enum State {
-        /** No header section has arrived whole. */
-        NEW,
+        /** The first header section has begun to arrive and is not complete. */
+        UNFINISHED,
         /** The last request was refused for a fault of its own. */
         REFUSED,
+        /** Nothing has arrived yet; the first request may be on its way. */
+        SILENT,
         /** A request is arriving, on a connection that has completed a header section. */
         ARRIVING,
         /** The last request was answered. */
@@ -80,7 +82,7 @@
         if (sockets >= maxSockets && isEachAnswering()) {
             return List.of(connection);
         }
-        in(State.NEW).add(connection);
+        in(State.SILENT).add(connection);
         sockets++;
         return makeRoom(connection);
     }
@@ -97,10 +99,12 @@
         }
     }
 
-    /** Records that the next request begins to arrive. A connection keeps its rank until a header section is complete. */
+    /** Records that a request begins to arrive. A refused connection keeps its rank until a header section is complete. */
     synchronized void onNextRequest(Channel connection) {
         if (in(State.IDLE).contains(connection)) {
             move(connection, State.ARRIVING);
+        } else if (in(State.SILENT).contains(connection)) {
+            move(connection, State.UNFINISHED);
         }
     }
 
--- a/siskinlead-protocol/src/test/java/org/siskinlead/protocol/http/OpenConnectionsTest.java
+++ b/siskinlead-protocol/src/test/java/org/siskinlead/protocol/http/OpenConnectionsTest.java
@@ -16,17 +16,35 @@
     @Test
     void closesAConnectionWithoutAHeaderSectionBeforeAnIdleOne() {
         Channel idle = answered(false);
-        Channel firstNew = admitted();
-        Channel secondNew = admitted();
+        Channel first = admitted();
+        Channel second = admitted();
         admitted();
 
-        assertThat(connections.admit(new EmbeddedChannel())).containsExactly(firstNew);
-        assertThat(connections.admit(new EmbeddedChannel())).containsExactly(secondNew);
+        assertThat(connections.admit(new EmbeddedChannel())).containsExactly(first);
+        assertThat(connections.admit(new EmbeddedChannel())).containsExactly(second);
         assertThat(connections.count()).isEqualTo(4);
         connections.remove(idle);
         assertThat(connections.count()).isEqualTo(3);
     }
 
+    // Guards against new callers who are pushed out, before their request arrives, by clients that open connections
+    // fast.
+    @Test
+    void closesConnectionsWithAnUnfinishedHeaderSectionBeforeSilentOnes() {
+        admitted();
+        admitted();
+        Channel unfinished = admitted();
+        connections.onNextRequest(unfinished);
+        admitted();
+
+        for (int i = 0; i < 10; i++) {
+            Channel next = new EmbeddedChannel();
+            assertThat(connections.admit(next)).containsExactly(unfinished);
+            connections.onNextRequest(next);
+            unfinished = next;
+        }
+    }
+
     // Guards against callers between two requests who are cut while others send what is refused again and again.
     @Test
     void closesARefusedConnectionBeforeOneThatIsIdleOrArriving() {
