No request is handled on a connection that is closed to make room

What callers saw: nothing yet; found while reading the diff. A request on a connection that had just been chosen to be closed could be passed on to a target, and its caller got a closed connection, which promises nothing.

Cause: the connection was closed by a task on its network thread. Bytes that had arrived with the same selection were decoded and handled before that.

Change: it is closed at once, and marked; a request that is decoded after that is dropped unread.

Evidence: ConnectionEndTest.handlesNoRequestOfAConnectionThatIsClosedToMakeRoom: before, 50 of 50 requests were handled and none answered; now 0 handled. Two first forms of the test passed before the fix: one let the request arrive before the further connections, the other answered within the handler.

--- a/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/ConnectionTimeouts.java
+++ b/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/ConnectionTimeouts.java
@@ -171,9 +171,10 @@
         }
     }
 
+    /** Closes connections at once, also those of other threads, so that none of their requests is handled any more. */
     private static void closeAll(List<Channel> excess) {
         for (Channel connection : excess) {
-            connection.eventLoop().execute(() -> ServerResources.close(connection, ConnectionEnd.TOO_MANY_CONNECTIONS));
+            ServerResources.close(connection, ConnectionEnd.TOO_MANY_CONNECTIONS);
         }
     }
 
--- a/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/HttpServer.java
+++ b/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/HttpServer.java
@@ -207,8 +207,9 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, ReceivedRequest request) {
-            if (!context.channel().isActive()) {
-                // The codec passes on what it has of an incomplete request when the connection ends.
+            if (!context.channel().isActive() || ServerResources.isEnding(context.channel())) {
+                // The connection is being closed, or the codec passes on what it has of an incomplete request at its
+                // end.
                 request.body().release();
                 return;
             }
--- a/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/ServerResources.java
+++ b/siskinlead-protocol/src/main/java/org/siskinlead/protocol/http/ServerResources.java
@@ -130,6 +130,11 @@
         return end == null ? ConnectionEnd.PEER : end;
     }
 
+    /** Tells whether the server has decided to close a connection. */
+    static boolean isEnding(Channel connection) {
+        return endOf(connection) != ConnectionEnd.PEER;
+    }
+
     // Commands
 
     /** Closes a connection. The first reason given for it stays. */
--- a/siskinlead-protocol/src/test/java/org/siskinlead/protocol/http/ConnectionEndTest.java
+++ b/siskinlead-protocol/src/test/java/org/siskinlead/protocol/http/ConnectionEndTest.java
@@ -8,11 +8,14 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -23,6 +26,7 @@
     private static final long MAX_UNDECODED_BYTES = 100;
     private static final long MAX_UNSENT_BYTES = 1_000_000;
     private static final long MAX_WAIT_S = 20;
+    private static final int ROUNDS = 50;
 
     private final EventLoopGroup network = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final ServerResources resources =
@@ -94,6 +98,59 @@
         assertThat(resources.counters().limitCounts()).containsExactly("closed.header_timeout", 1L);
     }
 
+    // Guards against handling a request, which may run, whose connection is about to be closed to make room.
+    @Test
+    void handlesNoRequestOfAConnectionThatIsClosedToMakeRoom() throws Exception {
+        ServerResources one = ServerResources.of(
+                RequestMemory.ofHeap(), MAX_UNDECODED_BYTES, MAX_UNSENT_BYTES, OpenConnections.of(2));
+        AtomicInteger handled = new AtomicInteger();
+        HttpServer small =
+                HttpServer.start(new InetSocketAddress("127.0.0.1", 0), network, () -> LIMITS, one, exchange -> {
+                    handled.incrementAndGet();
+                    network.schedule(() -> exchange.respond(200, Map.of()), 1, TimeUnit.MILLISECONDS);
+                });
+        int answered = 0;
+        for (int i = 0; i < ROUNDS; i++) {
+            answered += isAnsweredWhileAnotherConnects(small);
+        }
+
+        assertThat(answered).isEqualTo(handled.get());
+    }
+
+    /** Sends a request while the network thread is busy, so that it is read together with further connections. */
+    private int isAnsweredWhileAnotherConnects(HttpServer small) throws Exception {
+        CountDownLatch arrived = new CountDownLatch(1);
+        try (Socket first = new Socket("127.0.0.1", small.port())) {
+            awaitNetwork();
+            network.execute(() -> awaitUninterrupted(arrived));
+            try (Socket second = new Socket("127.0.0.1", small.port());
+                    Socket third = new Socket("127.0.0.1", small.port())) {
+                assertThat(second.isConnected() && third.isConnected()).isTrue();
+                first.getOutputStream().write("GET / HTTP/1.1\r\nHost: h\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+                arrived.countDown();
+                return first.getInputStream().read() >= 0 ? 1 : 0;
+            } catch (SocketException e) {
+                return 0;
+            }
+        } finally {
+            awaitNetwork();
+        }
+    }
+
+    private void awaitNetwork() throws Exception {
+        for (int i = 0; i < 5; i++) {
+            network.schedule(() -> {}, 1, TimeUnit.MILLISECONDS).sync();
+        }
+    }
+
+    private static void awaitUninterrupted(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private Socket connect(String text) throws Exception {
         Socket socket = new Socket("127.0.0.1", server.port());
         socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
