--- a/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/Forwarder.java
+++ b/siskinlead-core/src/main/java/org/siskinlead/core/forwarding/Forwarder.java
@@ -268,7 +268,7 @@
      */
     public RequestHandle onRequest(IncomingRequest request, Reply reply) {
         context.counters().increment(Count.RECEIVED);
-        Handle handle = new Handle();
+        CallHandle handle = new CallHandle();
         admit(request, reply, handle, timers.nowMillis(), ProofWait.ALLOWED);
         return handle;
     }
@@ -279,29 +279,8 @@
         USED
     }
 
-    private static final class Handle implements RequestHandle {
-        private @Nullable ForwardedCall call;
-        private boolean connectionClosed;
-
-        @Override
-        public void onCallerDisconnected() {
-            connectionClosed = true;
-            if (call != null) {
-                call.onCallerDisconnected();
-            }
-        }
-
-        @Override
-        public void onConnectionClosed(String reason) {
-            connectionClosed = true;
-            if (call != null) {
-                call.onConnectionClosed(reason);
-            }
-        }
-    }
-
-    private void admit(IncomingRequest request, Reply reply, Handle handle, long receivedAt, ProofWait wait) {
-        if (handle.connectionClosed) {
+    private void admit(IncomingRequest request, Reply reply, CallHandle handle, long receivedAt, ProofWait wait) {
+        if (handle.isCancelled()) {
             return;
         }
         Catalog current = catalog;
@@ -356,7 +335,7 @@
     private void forward(
             IncomingRequest request,
             Reply reply,
-            Handle handle,
+            CallHandle handle,
             long receivedAt,
             Catalog current,
             Route route,
@@ -393,7 +372,7 @@
         acceptUnlessSuspected(admitted, reply, handle);
     }
 
-    private void acceptUnlessSuspected(AdmittedRequest admitted, Reply reply, Handle handle) {
+    private void acceptUnlessSuspected(AdmittedRequest admitted, Reply reply, CallHandle handle) {
         if (context.crashWatch().isBlocked(admitted)) {
             tryOrRefuse(admitted, reply, handle);
             return;
@@ -402,11 +381,11 @@
     }
 
     /** Refuses a blocked request, unless this daemon may send it as a trial. */
-    private void tryOrRefuse(AdmittedRequest admitted, Reply reply, Handle handle) {
+    private void tryOrRefuse(AdmittedRequest admitted, Reply reply, CallHandle handle) {
         awaitingTrial++;
         context.crashWatch().requestTrial(admitted, granted -> {
             awaitingTrial--;
-            if (handle.connectionClosed) {
+            if (handle.isCancelled()) {
                 return;
             }
             if (granted) {
@@ -419,7 +398,7 @@
         });
     }
 
-    private void accept(AdmittedRequest admitted, Reply reply, Handle handle) {
+    private void accept(AdmittedRequest admitted, Reply reply, CallHandle handle) {
         IncomingRequest request = admitted.request();
         context.retryBudget().onRequest(admitted.service().name());
         List<Object> fields = new ArrayList<>(List.of(
@@ -448,13 +427,13 @@
         return request.timeBudgetMillis() > 0 ? request.timeBudgetMillis() : DEFAULT_TIME_BUDGET_MS;
     }
 
-    private void start(AdmittedRequest admitted, Reply reply, Handle handle) {
+    private void start(AdmittedRequest admitted, Reply reply, CallHandle handle) {
         RequestQueue queue = queues.computeIfAbsent(admitted.service().name(), s -> newQueue(admitted.service()));
-        Runnable onDone = () -> running.remove(handle.call);
+        Runnable onDone = () -> running.remove(handle.call());
         ForwardedCall call = admitted.route().kind() == RouteKind.STREAM
                 ? StreamingCall.of(context, chooser, queue, admitted, reply, onDone)
                 : BufferedCall.of(context, chooser, queue, admitted, reply, onDone);
-        handle.call = call;
+        handle.setCall(call);
         running.add(call);
         call.begin();
     }
