--- a/review/11/case.py
+++ b/review/11/case.py
@@ -141,6 +141,31 @@
         return (200 if whole else status if status != 200 else 0), min(wait, 6.0)
 
 
+async def power_off(lab):
+    lab.record("herd_kill, off: all machines lose power")
+    for daemon in lab.daemons:
+        daemon.signal(signal.SIGKILL)
+    for daemon in lab.daemons:
+        daemon.process.wait()
+    await asyncio.sleep(OFF_S)
+    for daemon in lab.daemons:
+        daemon.start()
+    for daemon in lab.daemons:
+        await daemon.until_ready()
+
+
+async def roll(lab):
+    """In place of the final fault, with FAULT=roll: planned work only, no part of the case."""
+    lab.record("roll_term: the machines are stopped and started in turn")
+    for daemon in lab.daemons:
+        daemon.signal(signal.SIGTERM)
+        while daemon.process.poll() is None:
+            await asyncio.sleep(0.05)
+        daemon.start()
+        await daemon.until_ready()
+        await asyncio.sleep(1)
+
+
 def served(results, start, end):
     chosen = [status for at, status in results if start <= at < end]
     return sum(status == 200 for status in chosen), len(chosen)
@@ -182,16 +207,7 @@
     lab.record(f"before the final fault {good} of {count} requests were served")
     before = good / max(1, count)
     if L.TROUBLE:
-        lab.record("herd_kill, off: all machines lose power")
-        for daemon in lab.daemons:
-            daemon.signal(signal.SIGKILL)
-        for daemon in lab.daemons:
-            daemon.process.wait()
-        await asyncio.sleep(OFF_S)
-        for daemon in lab.daemons:
-            daemon.start()
-        for daemon in lab.daemons:
-            await daemon.until_ready()
+        await (roll(lab) if os.environ.get("FAULT") == "roll" else power_off(lab))
     back_at = L.now()
     await asyncio.sleep(RECOVER_S + MEASURED_S)
     calling.cancel()
